Put a front door on real sockets round the module

Seen: the crate decides, but nothing serves; only the simulator's adapter drives it. Ruled out: a pooled client that resends by itself, and a task for each backend connection, as aborting a task is not yet a closed socket. Here the attempt itself drives its connection, so that dropping it has closed the socket before the module hears of the end. Cause: no program; hence src/bin/brassport with one job a file.

--- /dev/null
+++ b/src/bin/brassport/backends.rs
@@ -0,0 +1,252 @@
+//! The backends: where they are, the idle connections to them, and the attempts.
+
+use crate::link::{Failure, Link};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use springusher::{Outcome, ServerId};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+/// Most bytes of a body, either way.
+pub const BODY_LIMIT: usize = 64 * 1024;
+/// Part of the backends' idle time after which a connection is closed: they may close theirs earlier than
+/// they say, and a request that crosses that is lost.
+const IDLE_PART: f64 = 0.5;
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// A client's request as it goes on to a backend.
+pub struct Message {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// How an attempt ended.
+pub struct End {
+    pub outcome: Outcome,
+    /// The customer's use in the meter's last period, as a share of its rate.
+    pub used: Option<f64>,
+    /// The answer, if the backend served the request.
+    pub answer: Option<Response<Bytes>>,
+}
+
+impl From<Outcome> for End {
+    fn from(outcome: Outcome) -> End {
+        End { outcome, used: None, answer: None }
+    }
+}
+
+struct Pooled {
+    link: Link,
+    since: Instant,
+    _descriptor: OwnedSemaphorePermit,
+}
+
+struct Backend {
+    address: SocketAddr,
+    ready: bool,
+    /// The one used last stands at the end.
+    idle: Vec<Pooled>,
+}
+
+pub struct Backends {
+    known: RefCell<HashMap<ServerId, Backend>>,
+    descriptors: Arc<Semaphore>,
+    connect_timeout: Duration,
+    keep_idle: Duration,
+}
+
+impl Backends {
+    pub fn new(descriptors: Arc<Semaphore>, connect_timeout: Duration, idle_timeout: Duration) -> Backends {
+        Backends {
+            known: RefCell::default(),
+            descriptors,
+            connect_timeout,
+            keep_idle: idle_timeout.mul_f64(IDLE_PART),
+        }
+    }
+
+    /// Notes where a backend is and whether it takes new requests.
+    pub fn put(&self, id: ServerId, address: SocketAddr, ready: bool) {
+        let mut known = self.known.borrow_mut();
+        let backend = known.entry(id).or_insert(Backend { address, ready, idle: Vec::new() });
+        if backend.address != address || !ready {
+            backend.idle.clear();
+        }
+        (backend.address, backend.ready) = (address, ready);
+    }
+
+    /// Forgets the backends that `keep` does not name.
+    pub fn retain(&self, keep: impl Fn(ServerId) -> bool) {
+        self.known.borrow_mut().retain(|id, _| keep(*id));
+    }
+
+    pub fn any_ready(&self) -> bool {
+        self.known.borrow().values().any(|backend| backend.ready)
+    }
+
+    /// Closes the idle connection that has been so for the longest time; false if there is none.
+    pub fn shed_idle(&self) -> bool {
+        let mut known = self.known.borrow_mut();
+        let idle = known.values_mut().filter(|backend| !backend.idle.is_empty());
+        let Some(backend) = idle.min_by_key(|backend| backend.idle[0].since) else { return false };
+        backend.idle.remove(0);
+        true
+    }
+
+    /// Closes connections that have been idle for long or that the other side has closed.
+    pub async fn sweep(&self) {
+        loop {
+            sleep(SWEEP).await;
+            let parked: Vec<(ServerId, SocketAddr, Vec<Pooled>)> = self
+                .known
+                .borrow_mut()
+                .iter_mut()
+                .map(|(id, backend)| (*id, backend.address, std::mem::take(&mut backend.idle)))
+                .collect();
+            for (id, address, idle) in parked {
+                for mut pooled in idle {
+                    if pooled.since.elapsed() < self.keep_idle && pooled.link.is_usable().await {
+                        self.park(id, address, pooled);
+                    }
+                }
+            }
+        }
+    }
+
+    /// One attempt. It is over, and its socket closed or idle again, when this returns. `wanted` tells
+    /// whether the request still waits for an answer, `cancel` calls the attempt off.
+    pub async fn attempt(
+        &self,
+        id: ServerId,
+        message: &Message,
+        expire_at: Instant,
+        cancel: impl Future,
+        wanted: impl Fn() -> bool,
+    ) -> End {
+        let written = Cell::new(false);
+        let exchange = self.exchange(id, message, expire_at, wanted, &written);
+        // The exchange owns the connection: whichever branch ends first, the others are dropped, and the
+        // socket closed, before this returns and the module hears of it.
+        let ended = tokio::select! {
+            biased;
+            _ = cancel => Outcome::Cancelled,
+            end = exchange => return end,
+            () = sleep_until(expire_at) => Outcome::TimedOut,
+        };
+        match (written.get(), ended) {
+            (true, ended) => ended.into(),
+            (false, Outcome::Cancelled) => Outcome::Moot.into(),
+            (false, _) => Outcome::NoConnection.into(),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        id: ServerId,
+        message: &Message,
+        expire_at: Instant,
+        wanted: impl Fn() -> bool,
+        written: &Cell<bool>,
+    ) -> End {
+        let Some(address) = self.ready_at(id) else { return Outcome::Moot.into() };
+        let mut pooled = match self.idle(id).await {
+            Some(pooled) => pooled,
+            None => match self.connect(address).await {
+                Some(pooled) => pooled,
+                None => return Outcome::NoConnection.into(),
+            },
+        };
+        // Guards against sending to a backend that began to drain, went or moved while the connection came
+        // up, and against sending for a request that was answered meanwhile.
+        if self.ready_at(id) != Some(address) || !wanted() {
+            return Outcome::Moot.into();
+        }
+        written.set(true);
+        let answer = match pooled.link.exchange(message.to_send(expire_at), BODY_LIMIT).await {
+            Ok(answer) => answer,
+            Err(Failure::Unsent) => return Outcome::NoConnection.into(),
+            Err(Failure::Broken) => return Outcome::Reset.into(),
+        };
+        if pooled.link.is_usable().await {
+            pooled.since = Instant::now();
+            self.park(id, address, pooled);
+        }
+        judge(answer)
+    }
+
+    fn ready_at(&self, id: ServerId) -> Option<SocketAddr> {
+        self.known.borrow().get(&id).filter(|backend| backend.ready).map(|backend| backend.address)
+    }
+
+    /// The warmest idle connection that still stands.
+    async fn idle(&self, id: ServerId) -> Option<Pooled> {
+        loop {
+            let mut pooled = self.known.borrow_mut().get_mut(&id)?.idle.pop()?;
+            if pooled.since.elapsed() < self.keep_idle && pooled.link.is_usable().await {
+                return Some(pooled);
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Option<Pooled> {
+        let descriptor = loop {
+            match self.descriptors.clone().try_acquire_owned() {
+                Ok(descriptor) => break descriptor,
+                Err(_) if self.shed_idle() => {}
+                Err(_) => return None,
+            }
+        };
+        // Guards against a machine that is cut off: its connections never come up.
+        let link = timeout(self.connect_timeout, Link::open(address)).await.ok()?.ok()?;
+        Some(Pooled { link, since: Instant::now(), _descriptor: descriptor })
+    }
+
+    fn park(&self, id: ServerId, address: SocketAddr, pooled: Pooled) {
+        let mut known = self.known.borrow_mut();
+        if let Some(backend) =
+            known.get_mut(&id).filter(|backend| backend.ready && backend.address == address)
+        {
+            backend.idle.push(pooled);
+        }
+    }
+}
+
+impl Message {
+    fn to_send(&self, expire_at: Instant) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = expire_at.saturating_duration_since(Instant::now()).as_micros();
+        if let Ok(left) = HeaderValue::from_str(&format!("{left}u")) {
+            request.headers_mut().insert("x-deadline", left);
+        }
+        request
+    }
+}
+
+/// What an answer says of its attempt.
+fn judge(answer: Response<Bytes>) -> End {
+    let header = |name| answer.headers().get(name).and_then(|value| value.to_str().ok());
+    let used = header("usage-percent").and_then(|text| text.trim().parse::<f64>().ok());
+    let used = used.filter(|percent| percent.is_finite() && *percent >= 0.0).map(|percent| percent / 100.0);
+    let turned_away = header("x-not-run").is_some_and(|text| text.trim() == "1");
+    match answer.status() {
+        StatusCode::OK => End { outcome: Outcome::Ok, used, answer: Some(answer) },
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
+            End { outcome: Outcome::Full, used, answer: None }
+        }
+        // Anything else may have run.
+        _ => End { outcome: Outcome::Error, used, answer: None },
+    }
+}
--- /dev/null
+++ b/src/bin/brassport/clients.rs
@@ -0,0 +1,256 @@
+//! The clients' side: accepts connections, reads requests, checks them and writes the answers.
+
+use crate::backends::{Backends, Message, BODY_LIMIT};
+use crate::config::Names;
+use crate::door::{Answer, Door};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use springusher::Settings;
+use std::convert::Infallible;
+use std::io;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout, Instant};
+
+/// A client's time runs from when it sent the request to when it has the whole answer: so much is kept back
+/// for the way here and back.
+const MARGIN: Duration = Duration::from_millis(4);
+/// Descriptors that are kept for attempts: with fewer left, clients are told to come back.
+const RESERVE: usize = 64;
+/// How long a client may take over a request, or leave its connection idle.
+const PATIENCE: Duration = Duration::from_secs(60);
+const BODY_PATIENCE: Duration = Duration::from_secs(10);
+/// After a failed accept.
+const BACK_OFF: Duration = Duration::from_millis(20);
+/// Customers are numbers below this.
+const CUSTOMERS: u64 = 1 << 33;
+/// Headers that speak of one connection, or of this front door's own business, and go no further.
+const NOT_PASSED_ON: [HeaderName; 11] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+    header::CONTENT_LENGTH,
+    HeaderName::from_static("usage-percent"),
+    HeaderName::from_static("x-load"),
+];
+
+/// How far a shutdown has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    Serving,
+    /// Clients still come; each answer closes its connection.
+    Leaving,
+    /// No more are accepted, and idle connections are closed.
+    Closing,
+}
+
+/// What every connection needs.
+pub struct Desk {
+    pub door: Rc<Door>,
+    pub backends: Rc<Backends>,
+    pub names: Names,
+    pub settings: Settings,
+    pub phase: watch::Receiver<Phase>,
+}
+
+/// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
+pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>) {
+    let mut phase = desk.phase.clone();
+    let mut connections = JoinSet::new();
+    loop {
+        let next = accept(&listener, &descriptors);
+        tokio::select! {
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+            Some(_) = connections.join_next() => {}
+            next = next => match next {
+                Ok((stream, descriptor)) => {
+                    while descriptors.available_permits() < RESERVE && desk.backends.shed_idle() {}
+                    let crowded = descriptors.available_permits() < RESERVE;
+                    connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded));
+                }
+                // Guards against a spin where the system is out of descriptors or the like.
+                Err(_) => sleep(BACK_OFF).await,
+            },
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+/// The next connection, once there is a descriptor to spare for it; until then it waits in the backlog.
+async fn accept(
+    listener: &TcpListener,
+    descriptors: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let descriptor = descriptors.clone().acquire_owned().await.map_err(io::Error::other)?;
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, descriptor))
+}
+
+async fn connection(stream: TcpStream, _descriptor: OwnedSemaphorePermit, desk: Rc<Desk>, crowded: bool) {
+    let _ = stream.set_nodelay(true);
+    let mut phase = desk.phase.clone();
+    let service = service_fn(|request| {
+        let desk = desk.clone();
+        async move {
+            let mut response =
+                if crowded { refusal(desk.settings.max_retry_after) } else { answer(&desk, request).await };
+            if crowded || *desk.phase.borrow() != Phase::Serving {
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(PATIENCE).max_buf_size(BODY_LIMIT);
+    let mut serving = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    // A connection's error is its client's: it has gone, or what it sent is no HTTP.
+    tokio::select! {
+        _ = serving.as_mut() => {}
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+            serving.as_mut().graceful_shutdown();
+            let _ = serving.await;
+        }
+    }
+}
+
+async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let came = Instant::now();
+    if request.method() == Method::GET && request.uri().path() == "/healthz" {
+        let up = *desk.phase.borrow() == Phase::Serving && desk.backends.any_ready();
+        return text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+    }
+    let (head, body) = request.into_parts();
+    let asked = match check(&head, desk) {
+        Ok(asked) => asked,
+        Err(problem) => return text(StatusCode::BAD_REQUEST, problem),
+    };
+    let body = match timeout(BODY_PATIENCE, Limited::new(body, BODY_LIMIT).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) => return text(StatusCode::BAD_REQUEST, "the body is broken, or longer than 64 KiB"),
+        Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
+    };
+    let deadline = came + asked.patience.saturating_sub(MARGIN);
+    let message = Message { method: head.method, uri: asked.uri, headers: pass_on(head.headers), body };
+    match desk.door.admit(asked.request, message, deadline).answer(deadline).await {
+        Answer::Served(served) => {
+            let (head, body) = served.into_parts();
+            let mut response = Response::new(Full::new(body));
+            *response.headers_mut() = pass_on(head.headers);
+            response
+        }
+        Answer::Refused(wait) => refusal(wait),
+        Answer::Failed => text(StatusCode::GATEWAY_TIMEOUT, "no answer of a backend"),
+    }
+}
+
+fn text(status: StatusCode, line: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(line.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+/// A refusal, with advice on when to come back if there is any, in milliseconds.
+fn refusal(wait: f64) -> Response<Full<Bytes>> {
+    let mut response = text(StatusCode::TOO_MANY_REQUESTS, "");
+    if wait > 0.0 {
+        if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", wait / 1000.0)) {
+            response.headers_mut().insert(header::RETRY_AFTER, seconds);
+        }
+    }
+    response
+}
+
+fn pass_on(mut headers: HeaderMap) -> HeaderMap {
+    for name in NOT_PASSED_ON {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// A request that makes sense.
+struct Asked {
+    request: springusher::Request,
+    patience: Duration,
+    uri: hyper::Uri,
+}
+
+/// Guards against malformed input: what does not make sense goes no further.
+fn check(head: &Parts, desk: &Desk) -> Result<Asked, &'static str> {
+    let field = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
+    if field("x-request-id").is_none_or(str::is_empty) {
+        return Err("X-Request-Id is missing");
+    }
+    let index = |names: &[String], name| names.iter().position(|known| Some(known.as_str()) == name);
+    let class = index(&desk.names.classes, field("x-class")).ok_or("X-Class names no class")?;
+    if head.uri.path().split('/').nth(1) != Some(&desk.names.classes[class]) {
+        return Err("the path does not begin with the class");
+    }
+    let plan = index(&desk.names.plans, field("plan")).ok_or("Plan names no plan")?;
+    let customer = field("cookie").and_then(customer).ok_or("the cookie names no client")?;
+    let most = Duration::from_secs_f64(desk.settings.classes[class].deadline / 1000.0);
+    let patience = field("x-deadline").and_then(span).ok_or("X-Deadline is no length of time")?.min(most);
+    let quota = field("quota-info").and_then(|text| quota(text, &desk.settings));
+    let (units, spread) = quota.ok_or("Quota-Info makes no sense")?;
+    let target = head.uri.path_and_query().ok_or("the request has no path")?;
+    let request = springusher::Request {
+        id: 0,
+        customer,
+        plan,
+        class,
+        units,
+        spread,
+        expires_in: 0.0,
+        repeat: field("x-retry") == Some("1"),
+    };
+    Ok(Asked { request, patience, uri: target.clone().into() })
+}
+
+fn customer(cookies: &str) -> Option<u64> {
+    let digits = cookies.split(';').find_map(|cookie| cookie.trim().strip_prefix("client="))?;
+    if digits.len() != 16 || !digits.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+        return None;
+    }
+    u64::from_str_radix(digits, 16).ok().filter(|customer| *customer < CUSTOMERS)
+}
+
+/// A number and its unit: milliseconds or microseconds.
+fn span(text: &str) -> Option<Duration> {
+    let (number, in_second) = match text.strip_suffix('m') {
+        Some(number) => (number, 1e3),
+        None => (text.strip_suffix('u')?, 1e6),
+    };
+    let number = number.parse::<f64>().ok().filter(|number| *number > 0.0)?;
+    Duration::try_from_secs_f64(number / in_second).ok()
+}
+
+/// The units and the number of front doors in the customer's set.
+fn quota(text: &str, settings: &Settings) -> Option<(f64, u32)> {
+    let value = |name: &str| {
+        text.split(',').find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('=')).map(str::trim)
+    };
+    let units = value("units")?.parse::<f64>().ok()?;
+    let spread = value("spread")?.parse::<u32>().ok()?;
+    let first = value("first")?.parse::<u32>().ok()?;
+    let sensible = units > 0.0
+        && units <= settings.max_units
+        && (1..=settings.gateways).contains(&spread)
+        && first < settings.gateways;
+    sensible.then_some((units, spread))
+}
--- /dev/null
+++ b/src/bin/brassport/config.rs
@@ -0,0 +1,236 @@
+//! Configuration: the environment and the JSON file it names, checked and turned into the module's terms.
+
+use crate::discovery::List;
+use serde::Deserialize;
+use springusher::{Class, Effect, Plan, Scope, Settings};
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::{env, fs};
+
+/// All that a front door is told at its start.
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub known: List,
+    pub names: Names,
+    pub settings: Settings,
+    pub connect_timeout: Duration,
+    pub idle_timeout: Duration,
+}
+
+/// Names that stand on the sockets, each at the index by which the module knows it.
+pub struct Names {
+    pub classes: Vec<String>,
+    pub plans: Vec<String>,
+    pub zones: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct File {
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    limits: Limits,
+    known: List,
+    settings: Told,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Told {
+    areas: Vec<String>,
+    balancers: u32,
+    ordinal: u32,
+    zone: u16,
+    tick: f64,
+    registry_mode: RegistryMode,
+    bounds: Bounds,
+    rules: Rules,
+    family_info: FamilyInfo,
+    classes: Vec<ToldClass>,
+    plans: Vec<ToldPlan>,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum RegistryMode {
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Bounds {
+    cancel: bool,
+    conn_idle: f64,
+    connect_timeout: f64,
+    max_attempts: u32,
+    max_retry_after: f64,
+    may_duplicate: bool,
+    retry_after: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Rules {
+    cold: f64,
+    cold_from: f64,
+    fall: f64,
+    stop_sending_within: f64,
+    tip_multiple: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct FamilyInfo {
+    most_units: f64,
+    use_period: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ToldClass {
+    name: String,
+    semantics: Semantics,
+    group: Group,
+    dedup_window: f64,
+    worth: f64,
+    slo: f64,
+    deadline: f64,
+    late_share: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Semantics {
+    Free,
+    Guarded,
+    SingleShot,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ToldPlan {
+    name: String,
+    units_per_s: f64,
+    store_size: f64,
+    concurrency: u32,
+    price: f64,
+    excess_worth: f64,
+    overrun_cost: f64,
+    never_over_rate: f64,
+    cap_depth: f64,
+    tolerance: f64,
+}
+
+/// Reads the configuration.
+///
+/// # Errors
+/// One plain line on what is missing or makes no sense.
+pub fn read() -> Result<Config, String> {
+    let path = env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
+    let text = fs::read_to_string(&path).map_err(|error| format!("cannot read {path}: {error}"))?;
+    parse(&text, |name| env::var(name).ok())
+}
+
+/// The environment, where it says something, goes before the file.
+fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let file: File = serde_json::from_str(text).map_err(|error| format!("configuration: {error}"))?;
+    let address = |name: &str, written: Option<String>| {
+        let text = variable(name).or(written).ok_or_else(|| format!("{name} is not set"))?;
+        text.parse::<SocketAddr>().map_err(|_| format!("{name}: '{text}' is no address with a port"))
+    };
+    let seed = u64::from_str_radix(&file.seed, 16)
+        .map_err(|_| format!("seed: '{}' is no number in hexadecimal", file.seed))?;
+    let told = file.settings;
+    let names = Names {
+        classes: told.classes.iter().map(|class| class.name.clone()).collect(),
+        plans: told.plans.iter().map(|plan| plan.name.clone()).collect(),
+        zones: told.areas,
+    };
+    let bounds = told.bounds;
+    let settings = Settings {
+        gateways: told.balancers,
+        ordinal: told.ordinal,
+        zone: told.zone,
+        classes: told.classes.iter().map(class).collect(),
+        plans: told.plans.iter().map(plan).collect(),
+        max_units: told.family_info.most_units,
+        meter_period: told.family_info.use_period,
+        max_attempts: bounds.max_attempts,
+        may_duplicate: bounds.may_duplicate,
+        may_cancel: bounds.cancel,
+        max_retry_after: if bounds.retry_after { bounds.max_retry_after } else { 0.0 },
+        drain_grace: told.rules.stop_sending_within,
+        cold_from: told.rules.cold_from,
+        cold_for: told.rules.cold,
+        tip_multiple: told.rules.tip_multiple,
+        tip_after: told.rules.fall,
+        tick: told.tick,
+        list_on_request: told.registry_mode == RegistryMode::OnRequest,
+    };
+    settings.validate().map_err(|error| error.to_string())?;
+    let time = |name: &str, ms: f64| match Duration::try_from_secs_f64(ms / 1000.0) {
+        Ok(time) if !time.is_zero() => Ok(time),
+        _ => Err(format!("setting {name}: {ms} is no length of time")),
+    };
+    Ok(Config {
+        listen: address("BALANCER_LISTEN", file.listen)?,
+        discovery: address("BALANCER_DISCOVERY", file.discovery)?,
+        seed,
+        sockets: file.limits.sockets,
+        known: file.known,
+        names,
+        settings,
+        connect_timeout: time("bounds.connectTimeout", bounds.connect_timeout)?,
+        idle_timeout: time("bounds.connIdle", bounds.conn_idle)?,
+    })
+}
+
+fn class(told: &ToldClass) -> Class {
+    let scope = match told.group {
+        Group::All => Scope::All,
+        Group::Zone => Scope::Zone,
+        Group::Cell => Scope::Cell,
+    };
+    Class {
+        worth: told.worth,
+        aim: told.slo,
+        deadline: told.deadline,
+        late_share: told.late_share,
+        effect: match told.semantics {
+            Semantics::Free => Effect::Free,
+            Semantics::Guarded => Effect::Keyed { scope, window: told.dedup_window },
+            Semantics::SingleShot => Effect::Once,
+        },
+    }
+}
+
+fn plan(told: &ToldPlan) -> Plan {
+    Plan {
+        rate: told.units_per_s,
+        burst: told.store_size,
+        open: told.concurrency,
+        price: told.price,
+        over_worth: told.excess_worth,
+        over_cost: told.overrun_cost,
+        ceiling_rate: told.never_over_rate,
+        ceiling_burst: told.cap_depth,
+        ceiling_slack: told.tolerance,
+    }
+}
--- /dev/null
+++ b/src/bin/brassport/discovery.rs
@@ -0,0 +1,106 @@
+//! Discovery: follows the list of backends and tells the door of each change.
+
+use crate::door::Door;
+use crate::link::Link;
+use http_body_util::Full;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use serde::Deserialize;
+use springusher::ListKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How long a watch may wait for news, and how long its answer may take beyond that.
+const WAIT: Duration = Duration::from_millis(1000);
+const OVERDUE: Duration = Duration::from_millis(1000);
+/// Between an answer and the next call: a watch goes on if the call comes within 200 ms, and an agent that
+/// answers at once, whatever it is asked, must not keep the door busy.
+const PACE: Duration = Duration::from_millis(20);
+const FIRST_BACK_OFF: Duration = Duration::from_millis(100);
+const LAST_BACK_OFF: Duration = Duration::from_millis(800);
+/// Most bytes of a list.
+const LIST_LIMIT: usize = 1 << 20;
+
+/// The list of backends, or what changed in it.
+#[derive(Deserialize)]
+pub struct List {
+    pub rev: u64,
+    pub all: bool,
+    pub targets: Vec<Target>,
+}
+
+#[derive(Deserialize)]
+pub struct Target {
+    pub uid: String,
+    pub endpoint: String,
+    #[serde(default)]
+    pub az: String,
+    #[serde(default)]
+    pub pod_group: u16,
+    pub state: State,
+    /// 0, as where it is missing, says nothing of the size.
+    #[serde(default)]
+    pub capacity_hint: f64,
+    #[serde(default)]
+    pub boot_ms: f64,
+}
+
+#[derive(Deserialize, Clone, Copy, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    Ready,
+    Draining,
+    Gone,
+    /// A word that is not in the protocol: nothing is sent there.
+    #[serde(other)]
+    Unknown,
+}
+
+/// Watches for ever. Whatever the agent does, the list held stays in force.
+pub async fn watch(address: SocketAddr, door: Rc<Door>) {
+    let mut link = None;
+    let mut last = None;
+    let mut back_off = FIRST_BACK_OFF;
+    loop {
+        // Guards against an agent that is silent: a call is given up and its connection closed.
+        match timeout(WAIT + OVERDUE, ask(&mut link, address, last)).await {
+            Ok(Some(list)) => {
+                last = Some(list.rev);
+                back_off = FIRST_BACK_OFF;
+                door.servers(if list.all { ListKind::Full } else { ListKind::Delta }, list);
+                sleep(PACE).await;
+            }
+            _ => {
+                (link, last) = (None, None);
+                sleep(back_off).await;
+                back_off = (2 * back_off).min(LAST_BACK_OFF);
+            }
+        }
+    }
+}
+
+/// One call: the whole list, or what is newer than the version `after`.
+async fn ask(link: &mut Option<Link>, address: SocketAddr, after: Option<u64>) -> Option<List> {
+    let path = match after {
+        None => "/v1/servers".to_string(),
+        Some(rev) => format!("/v1/servers?after={rev}&wait_ms={}", WAIT.as_millis()),
+    };
+    let request = Request::get(path).header(HOST, address.to_string()).body(Full::default()).ok()?;
+    if let Some(open) = link {
+        if !open.is_usable().await {
+            *link = None;
+        }
+    }
+    let open = match link {
+        Some(open) => open,
+        None => link.insert(Link::open(address).await.ok()?),
+    };
+    let answer = open.exchange(request, LIST_LIMIT).await.ok()?;
+    if answer.status() != StatusCode::OK {
+        return None;
+    }
+    let list: List = serde_json::from_slice(answer.body()).ok()?;
+    (list.all || after.is_some()).then_some(list)
+}
--- /dev/null
+++ b/src/bin/brassport/door.rs
@@ -0,0 +1,320 @@
+//! The door: the single owner of the decision module. It keeps the module's clock and timers and the
+//! requests in hand, hands events in, and carries actions out in order. It decides nothing.
+
+use crate::backends::{Backends, End, Message};
+use crate::discovery::{List, State, Target};
+use hyper::body::Bytes;
+use hyper::Response;
+use springusher::{Action, AttemptEnd, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis};
+use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, Notify};
+use tokio::time::{sleep_until, Instant};
+
+/// The final answer to a client.
+pub enum Answer {
+    Served(Response<Bytes>),
+    /// Trying again is harmless; after so long, if that is not nought.
+    Refused(Millis),
+    Failed,
+}
+
+/// The module's clock: milliseconds since the start, never running backwards.
+struct Clock {
+    start: Instant,
+    /// Unix time at the start. It is read once, so that a moment told twice is the same moment both times.
+    start_unix: Millis,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), start_unix: unix.as_secs_f64() * 1000.0 }
+    }
+    fn now(&self) -> Millis {
+        self.start.elapsed().as_secs_f64() * 1000.0
+    }
+    fn instant(&self, at: Millis) -> Instant {
+        let since = Duration::try_from_secs_f64(at / 1000.0).unwrap_or_default();
+        self.start.checked_add(since).unwrap_or_else(Instant::now)
+    }
+    fn of_unix(&self, unix: Millis) -> Millis {
+        unix - self.start_unix
+    }
+}
+
+/// A request that awaits its answer or the ends of its attempts.
+struct InHand {
+    message: Rc<Message>,
+    /// When its client gives up.
+    deadline: Instant,
+    /// `None` once it is answered or its client has gone.
+    answer: Option<oneshot::Sender<Answer>>,
+    /// To call each attempt off; `None` once it has ended.
+    attempts: Vec<Option<oneshot::Sender<()>>>,
+}
+
+struct Inner {
+    gateway: Gateway,
+    requests: HashMap<RequestId, InHand>,
+    last: RequestId,
+    alarms: BinaryHeap<Reverse<(Instant, u64)>>,
+    /// Names of the backends by the number that stands for each.
+    uids: HashMap<ServerId, String>,
+}
+
+pub struct Door {
+    clock: Clock,
+    zones: Vec<String>,
+    backends: Rc<Backends>,
+    inner: RefCell<Inner>,
+    sooner: Notify,
+}
+
+impl Door {
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        zones: Vec<String>,
+        backends: Rc<Backends>,
+    ) -> Result<Rc<Door>, InvalidSetting> {
+        let clock = Clock::new();
+        let inner = Inner {
+            gateway: Gateway::new(settings, seed, clock.now())?,
+            requests: HashMap::new(),
+            last: 0,
+            alarms: BinaryHeap::new(),
+            uids: HashMap::new(),
+        };
+        Ok(Rc::new(Door { clock, zones, backends, inner: RefCell::new(inner), sooner: Notify::new() }))
+    }
+
+    /// Takes a request in; `expires_in` and the id are filled in here.
+    pub fn admit(self: &Rc<Self>, mut request: Request, message: Message, deadline: Instant) -> Ticket {
+        let (answer, receiver) = oneshot::channel();
+        let mut inner = self.inner.borrow_mut();
+        inner.last += 1;
+        request.id = inner.last;
+        request.expires_in = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
+        let hand = InHand { message: Rc::new(message), deadline, answer: Some(answer), attempts: Vec::new() };
+        inner.requests.insert(request.id, hand);
+        drop(inner);
+        self.handle(Event::Request(request));
+        Ticket { door: self.clone(), id: request.id, answer: receiver }
+    }
+
+    /// Fails all that is still in hand, as the program has to end.
+    pub fn fail_all(self: &Rc<Self>) {
+        let answers: Vec<_> =
+            self.inner.borrow_mut().requests.values_mut().filter_map(|hand| hand.answer.take()).collect();
+        for answer in answers {
+            let _ = answer.send(Answer::Failed);
+        }
+    }
+
+    /// Takes in the list of backends or a change to it, for itself and for the module.
+    pub fn servers(self: &Rc<Self>, kind: ListKind, list: List) {
+        let mut entries = Vec::with_capacity(list.targets.len());
+        for target in &list.targets {
+            let id = self.id(&target.uid);
+            let entry = self.entry(id, target);
+            match (entry.lifecycle, target.endpoint.parse()) {
+                (Lifecycle::Gone, _) | (_, Err(_)) => self.backends.retain(|other| other != id),
+                (lifecycle, Ok(address)) => self.backends.put(id, address, lifecycle == Lifecycle::Ready),
+            }
+            entries.push(entry);
+        }
+        if kind != ListKind::Delta {
+            let listed = |id| entries.iter().any(|entry| entry.id == id);
+            self.backends.retain(listed);
+            self.inner.borrow_mut().uids.retain(|id, _| listed(*id));
+        }
+        self.handle(Event::Servers { kind, entries });
+    }
+
+    fn entry(&self, id: ServerId, target: &Target) -> ServerEntry {
+        let zone = self.zones.iter().position(|zone| *zone == target.az);
+        ServerEntry {
+            id,
+            zone: zone.map_or(u16::MAX, |zone| zone as u16),
+            cell: target.pod_group,
+            share: target.capacity_hint,
+            lifecycle: match target.state {
+                State::Ready if target.endpoint.parse::<SocketAddr>().is_ok() => Lifecycle::Ready,
+                State::Ready | State::Draining | State::Unknown => Lifecycle::Draining,
+                State::Gone => Lifecycle::Gone,
+            },
+            launched: (target.boot_ms > 0.0).then(|| self.clock.of_unix(target.boot_ms)),
+        }
+    }
+
+    /// The number that stands for a backend: the one its name holds, so that every front door finds the
+    /// same. Another name is hashed, and moves on if its number stands for a different one.
+    fn id(&self, uid: &str) -> ServerId {
+        let digits = uid.strip_prefix("s-").filter(|digits| digits.len() == 8);
+        let hash = || {
+            let mix = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+            uid.bytes().fold(0x811c_9dc5, mix)
+        };
+        let mut id = digits.and_then(|digits| u32::from_str_radix(digits, 16).ok()).unwrap_or_else(hash);
+        let uids = &mut self.inner.borrow_mut().uids;
+        while uids.get(&id).is_some_and(|other| other != uid) {
+            id = id.wrapping_add(1);
+        }
+        uids.entry(id).or_insert_with(|| uid.to_string());
+        id
+    }
+
+    /// Wakes the module when its timers are due.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let next = self.inner.borrow().alarms.peek().map(|Reverse((at, _))| *at);
+            match next {
+                None => self.sooner.notified().await,
+                Some(at) if at > Instant::now() => tokio::select! {
+                    () = sleep_until(at) => {}
+                    () = self.sooner.notified() => {}
+                },
+                Some(_) => {
+                    let due = self.inner.borrow_mut().alarms.pop();
+                    if let Some(Reverse((_, token))) = due {
+                        self.handle(Event::Timer(token));
+                    }
+                }
+            }
+        }
+    }
+
+    fn handle(self: &Rc<Self>, event: Event) {
+        let inner = &mut *self.inner.borrow_mut();
+        let mut actions = Vec::new();
+        inner.gateway.handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(inner, action);
+        }
+    }
+
+    /// What an action names and is no longer in hand was answered meanwhile: it is passed over.
+    fn carry_out(self: &Rc<Self>, inner: &mut Inner, action: Action) {
+        match action {
+            Action::Send { request, server, expire_at } => {
+                let Some(hand) = inner.requests.get_mut(&request) else { return };
+                let expire_at =
+                    expire_at.map_or(hand.deadline, |at| self.clock.instant(at).min(hand.deadline));
+                let (cancel, cancelled) = oneshot::channel();
+                let number = hand.attempts.len() as u8;
+                hand.attempts.push(Some(cancel));
+                let attempt =
+                    self.clone().attempt(request, number, server, hand.message.clone(), expire_at, cancelled);
+                tokio::task::spawn_local(attempt);
+            }
+            Action::Refuse { request, retry_after } => inner.answer(request, Answer::Refused(retry_after)),
+            Action::Fail(request) => inner.answer(request, Answer::Failed),
+            Action::Cancel { request, attempt } => {
+                let hand = inner.requests.get_mut(&request);
+                let attempt = hand.and_then(|hand| hand.attempts.get_mut(usize::from(attempt))?.take());
+                if let Some(cancel) = attempt {
+                    let _ = cancel.send(());
+                }
+            }
+            Action::Timer { at, token } => {
+                let at = self.clock.instant(at);
+                if inner.alarms.peek().is_none_or(|Reverse((first, _))| at < *first) {
+                    self.sooner.notify_one();
+                }
+                inner.alarms.push(Reverse((at, token)));
+            }
+            // The program follows the list from its start, whoever asks.
+            Action::FollowServers => {}
+            Action::Log(text) => eprintln!("brassport: {text}"),
+        }
+    }
+
+    async fn attempt(
+        self: Rc<Self>,
+        request: RequestId,
+        attempt: u8,
+        server: ServerId,
+        message: Rc<Message>,
+        expire_at: Instant,
+        cancelled: oneshot::Receiver<()>,
+    ) {
+        let sent = self.clock.now();
+        let wanted = || self.inner.borrow().requests.get(&request).is_some_and(|hand| hand.answer.is_some());
+        // A sender that is dropped without a word cancels nothing.
+        let cancel = async {
+            if cancelled.await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let End { outcome, used, answer } =
+            self.backends.attempt(server, &message, expire_at, cancel, wanted).await;
+        let mut inner = self.inner.borrow_mut();
+        if let Some(answer) = answer {
+            inner.answer(request, Answer::Served(answer));
+        }
+        let mut finished = true;
+        if let Some(hand) = inner.requests.get_mut(&request) {
+            hand.attempts[usize::from(attempt)] = None;
+            finished = hand.answer.is_none();
+        }
+        inner.forget_if_over(request);
+        drop(inner);
+        let elapsed = self.clock.now() - sent;
+        self.handle(Event::AttemptEnd(AttemptEnd { request, attempt, outcome, elapsed, finished, used }));
+    }
+}
+
+impl Inner {
+    /// Passes the final answer on, unless there was one before.
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        let Some(hand) = self.requests.get_mut(&request) else { return };
+        if let Some(client) = hand.answer.take() {
+            let _ = client.send(answer);
+        }
+        self.forget_if_over(request);
+    }
+
+    fn forget_if_over(&mut self, request: RequestId) {
+        let over = |hand: &InHand| hand.answer.is_none() && hand.attempts.iter().all(Option::is_none);
+        if self.requests.get(&request).is_some_and(over) {
+            self.requests.remove(&request);
+        }
+    }
+}
+
+/// A client's claim to its answer. Dropped before that has come, it tells the module that the client left.
+pub struct Ticket {
+    door: Rc<Door>,
+    id: RequestId,
+    answer: oneshot::Receiver<Answer>,
+}
+
+impl Ticket {
+    /// The final answer. Guards against a request that nothing answers: it fails at `deadline`.
+    pub async fn answer(mut self, deadline: Instant) -> Answer {
+        tokio::select! {
+            biased;
+            answer = &mut self.answer => answer.unwrap_or(Answer::Failed),
+            () = sleep_until(deadline) => Answer::Failed,
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut inner = self.door.inner.borrow_mut();
+        let Some(hand) = inner.requests.get_mut(&self.id) else { return };
+        if hand.answer.take().is_none() {
+            return;
+        }
+        inner.forget_if_over(self.id);
+        drop(inner);
+        self.door.handle(Event::ClientGone(self.id));
+    }
+}
--- /dev/null
+++ b/src/bin/brassport/link.rs
@@ -0,0 +1,90 @@
+//! One HTTP/1.1 connection to a peer. Whoever holds it drives it: no task of its own stands behind it, so
+//! dropping it has closed the socket.
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::future::{poll_fn, Future};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::task::Poll;
+use tokio::net::TcpStream;
+
+/// Why an exchange brought no whole answer.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte of the request was written.
+    Unsent,
+    /// The connection broke, or the answer is not one of HTTP, after some of it may have been written.
+    Broken,
+}
+
+pub struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    /// `None` once it is over.
+    connection: Option<Connection<TokioIo<TcpStream>, Full<Bytes>>>,
+}
+
+impl Link {
+    pub async fn open(address: SocketAddr) -> io::Result<Link> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        Ok(Link { sender, connection: Some(connection) })
+    }
+
+    /// Sends one request and waits for its whole answer, of `most` bytes at the most.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        most: usize,
+    ) -> Result<Response<Bytes>, Failure> {
+        let Link { sender, connection } = self;
+        // hyper hands a request back only if it never began to write it.
+        let answer = sender.try_send_request(request);
+        let answer = drive(connection, answer).await.map_err(|mut error| match error.take_message() {
+            Some(_) => Failure::Unsent,
+            None => Failure::Broken,
+        })?;
+        let (head, body) = answer.into_parts();
+        let body = drive(connection, Limited::new(body, most).collect()).await;
+        // Guards against serving a body that was cut short: an error of the body is a broken connection.
+        let body = body.map_err(|_| Failure::Broken)?.to_bytes();
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Whether the connection stands and can take a request. Guards against sending into a connection
+    /// that the peer has closed while it was idle: polling it sees the end that has come in meanwhile.
+    pub async fn is_usable(&mut self) -> bool {
+        poll_fn(|context| {
+            if let Some(connection) = &mut self.connection {
+                if Pin::new(connection).poll(context).is_ready() {
+                    self.connection = None;
+                }
+            }
+            Poll::Ready(())
+        })
+        .await;
+        self.connection.is_some() && self.sender.is_ready()
+    }
+}
+
+/// Waits for `work`, which the connection has to be driven for.
+async fn drive<T>(
+    connection: &mut Option<Connection<TokioIo<TcpStream>, Full<Bytes>>>,
+    work: impl Future<Output = T>,
+) -> T {
+    let mut work = pin!(work);
+    poll_fn(|context| {
+        if let Some(running) = connection {
+            if Pin::new(running).poll(context).is_ready() {
+                *connection = None;
+            }
+        }
+        work.as_mut().poll(context)
+    })
+    .await
+}
--- /dev/null
+++ b/src/bin/brassport/main.rs
@@ -0,0 +1,97 @@
+//! The front door: one program on real sockets round the decision module of the crate `springusher`.
+#![forbid(unsafe_code)]
+
+mod backends;
+mod clients;
+mod config;
+mod discovery;
+mod door;
+mod link;
+
+use backends::Backends;
+use clients::{Desk, Phase};
+use config::Config;
+use door::Door;
+use springusher::ListKind;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Semaphore};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, timeout};
+
+/// Descriptors that are neither a client's nor a backend's: streams, event queue, listener, discovery.
+const OWN_DESCRIPTORS: usize = 32;
+/// After SIGTERM clients still come for up to 0.4 s; the listener stays open for longer than that ...
+const LEAVING: Duration = Duration::from_millis(1000);
+/// ... what is in hand then gets so long before it fails, so that the end comes before SIGKILL may ...
+const CLOSING: Duration = Duration::from_millis(2300);
+/// ... and such failures so long to be written.
+const LAST_WORDS: Duration = Duration::from_millis(200);
+
+fn main() -> ExitCode {
+    // Guards against requests stranded by a task that is no more: a panic anywhere ends the process.
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::abort();
+    }));
+    match config::read().and_then(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("brassport: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| format!("cannot start: {error}"))?;
+    LocalSet::new().block_on(&runtime, front_door(config))
+}
+
+async fn front_door(config: Config) -> Result<(), String> {
+    let spare = config.sockets.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
+    let spare = spare.ok_or_else(|| format!("limits.sockets: {} are too few", config.sockets))?;
+    let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
+    let mut terminate =
+        signal(SignalKind::terminate()).map_err(|error| format!("cannot take signals: {error}"))?;
+    let listener = TcpListener::bind(config.listen)
+        .await
+        .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+
+    let backends = Rc::new(Backends::new(descriptors.clone(), config.connect_timeout, config.idle_timeout));
+    let door = Door::new(config.settings.clone(), config.seed, config.names.zones.clone(), backends.clone())
+        .map_err(|error| error.to_string())?;
+    door.servers(ListKind::Cached, config.known);
+    spawn_local(door.clone().keep_time());
+    spawn_local(discovery::watch(config.discovery, door.clone()));
+    let sweeper = backends.clone();
+    spawn_local(async move { sweeper.sweep().await });
+
+    let (phase, seen) = watch::channel(Phase::Serving);
+    let desk = Rc::new(Desk {
+        door: door.clone(),
+        backends,
+        names: config.names,
+        settings: config.settings,
+        phase: seen,
+    });
+    let mut serving = spawn_local(clients::serve(listener, desk, descriptors));
+
+    terminate.recv().await;
+    phase.send_replace(Phase::Leaving);
+    sleep(LEAVING).await;
+    phase.send_replace(Phase::Closing);
+    if timeout(CLOSING, &mut serving).await.is_err() {
+        door.fail_all();
+        let _ = timeout(LAST_WORDS, &mut serving).await;
+    }
+    Ok(())
+}
