Test the front door over loopback sockets

Checked: each test against a spoilt program. Without the check of the backend's state before the first byte, without the check that the request still waits, with a cancel that is not carried out, with 503 and X-Not-Run taken for an error, with idle connections used unseen and with answers that keep their connections after SIGTERM, one test fails each time; it is the one that names the rule. Ruled out: a hand-back by hyper of an unsent request as a case of its own in the tests. Reporting it as broken fails no test, as a connection that has ended is dropped before it is handed one.

--- /dev/null
+++ b/tests/front_door.rs
@@ -0,0 +1,654 @@
+//! The front door over loopback sockets: the built program against small scripted peers.
+
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Nothing here takes that long unless it fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One message of HTTP: its first line, its headers (names in lower case) and its body.
+struct Message {
+    line: String,
+    headers: HashMap<String, String>,
+    body: Vec<u8>,
+}
+
+impl Message {
+    fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+    fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|word| word.parse().ok()).expect("a status")
+    }
+}
+
+/// `None` when the other side has closed between two messages.
+fn read_message(stream: &TcpStream) -> io::Result<Option<Message>> {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let mut headers = HashMap::new();
+    loop {
+        let mut header = String::new();
+        if reader.read_line(&mut header)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let Some((name, value)) = header.trim_end().split_once(':') else { break };
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
+    }
+    let length = headers.get("content-length").map_or(0, |length| length.parse().expect("a length"));
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body)?;
+    Ok(Some(Message { line: line.trim_end().to_string(), headers, body }))
+}
+
+/// A request that a scripted peer has read and not answered yet.
+struct Exchange {
+    request: Message,
+    stream: TcpStream,
+    next: Sender<Exchange>,
+}
+
+impl Exchange {
+    /// Answers and goes on reading from the connection.
+    fn answer(mut self, status: &str, headers: &str, body: &str) {
+        let length = body.len();
+        let answer = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
+        self.stream.write_all(answer.as_bytes()).expect("the answer goes out");
+        read_on(self.stream, self.next);
+    }
+    fn ok(self, body: &str) {
+        self.answer("200 OK", "", body);
+    }
+    /// Writes this and closes.
+    fn break_off(mut self, bytes: &str) {
+        self.stream.write_all(bytes.as_bytes()).expect("the bytes go out");
+        self.stream.shutdown(Shutdown::Both).expect("the connection closes");
+    }
+    /// Waits until the other side has closed.
+    fn wait_for_close(&mut self) {
+        let mut byte = [0];
+        match self.stream.read(&mut byte) {
+            Ok(0) => {}
+            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => {}
+            other => panic!("expected the connection to close, got {other:?}"),
+        }
+    }
+}
+
+fn read_on(stream: TcpStream, next: Sender<Exchange>) {
+    thread::spawn(move || {
+        if let Ok(Some(request)) = read_message(&stream) {
+            // A test that has ended listens no more.
+            let _ = next.send(Exchange { request, stream, next: next.clone() });
+        }
+    });
+}
+
+/// A peer that the test answers for: a backend, or discovery.
+struct Peer {
+    address: SocketAddr,
+    exchanges: Receiver<Exchange>,
+}
+
+impl Peer {
+    fn start() -> Peer {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (sender, exchanges) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+                read_on(stream, sender.clone());
+            }
+        });
+        Peer { address, exchanges }
+    }
+    fn next(&self) -> Exchange {
+        self.exchanges.recv_timeout(PATIENCE).expect("a request comes")
+    }
+}
+
+/// Discovery that tells the list it was given, and changes when the test says so.
+struct Discovery {
+    address: SocketAddr,
+    changes: Sender<Value>,
+    watches: Receiver<()>,
+}
+
+impl Discovery {
+    fn start(list: Value) -> Discovery {
+        let peer = Peer::start();
+        let address = peer.address;
+        let (changes, told) = channel::<Value>();
+        let (watching, watches) = channel();
+        thread::spawn(move || {
+            while let Ok(call) = peer.exchanges.recv() {
+                if !call.request.line.contains("after=") {
+                    call.ok(&list.to_string());
+                    continue;
+                }
+                let _ = watching.send(());
+                match told.recv_timeout(Duration::from_millis(500)) {
+                    Ok(change) => call.ok(&change.to_string()),
+                    Err(_) => call.ok(&json!({"rev": list["rev"], "all": false, "targets": []}).to_string()),
+                }
+            }
+        });
+        Discovery { address, changes, watches }
+    }
+    /// Tells a change, and waits for the watch that follows: the front door has taken the change in by then.
+    fn tell(&self, targets: Value) {
+        self.wait_for_watch();
+        self.changes.send(json!({"rev": 2, "all": false, "targets": targets})).expect("discovery runs");
+        self.wait_for_watch();
+        self.wait_for_watch();
+    }
+    fn wait_for_watch(&self) {
+        self.watches.recv_timeout(PATIENCE).expect("a watch comes");
+    }
+}
+
+fn target(uid: &str, address: SocketAddr, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": address.to_string(), "az": "a", "model": "m", "pod_group": 0,
+           "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+}
+
+fn list(targets: &[Value]) -> Value {
+    json!({"rev": 1, "all": true, "targets": targets})
+}
+
+/// An address where nothing listens.
+fn closed_port() -> SocketAddr {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|listener| listener.local_addr()).expect("a port")
+}
+
+/// A backend to which connections come up only once `open` is called: its backlog is full.
+struct Stuck {
+    listener: TcpListener,
+    address: SocketAddr,
+    _filling: TcpStream,
+}
+
+impl Stuck {
+    fn start() -> Stuck {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("an address");
+        let filling = TcpStream::connect(address).expect("the backlog holds one");
+        Stuck { listener, address, _filling: filling }
+    }
+    /// Waits until a connection is on its way that does not come up.
+    fn wait_for_connect(&self) {
+        let until = Instant::now() + PATIENCE;
+        let (a, port) = (u32::from_le_bytes([127, 0, 0, 1]), self.address.port());
+        let wanted = format!("{a:08X}:{port:04X} 02");
+        while !std::fs::read_to_string("/proc/net/tcp").expect("the system's sockets").contains(&wanted) {
+            assert!(Instant::now() < until, "no connection is attempted");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+    /// Lets the connection come up, and returns all that was written to it until it closed.
+    fn open(self) -> Vec<u8> {
+        let _filling = self.listener.accept().expect("the one that filled the backlog");
+        let (mut stream, _) = self.listener.accept().expect("the front door's");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).expect("the front door closes the connection");
+        bytes
+    }
+}
+
+/// The configuration of a front door of its own, under an address of its own.
+fn config(discovery: SocketAddr, known: Value) -> Value {
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    // Other sockets of the system get their ports at 127.0.0.1: here nothing takes this one meanwhile.
+    let own = Ipv4Addr::new(127, COUNT.fetch_add(1, Ordering::Relaxed), high, low.max(1));
+    let listen = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port");
+    let class = |name, semantics| {
+        json!({"name": name, "semantics": semantics, "group": "all", "dedupWindow": 5000.0, "worth": 1.0,
+               "slo": 1000.0, "deadline": 4000.0, "lateShare": 0.0, "stream": false})
+    };
+    json!({
+        "name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "counter": "127.0.0.1:9",
+        "known": known,
+        "settings": {
+            "areas": ["a", "b"], "balancers": 1, "ordinal": 0, "zone": 0, "tick": 4.0, "registryMode": "pushed",
+            "bounds": {"cancel": true, "connIdle": 15000.0, "connectTimeout": 250.0, "maxAttempts": 4,
+                       "maxRetryAfter": 500.0, "mayDuplicate": false, "retryAfter": true},
+            "rules": {"cold": 18000.0, "coldFrom": 0.24, "fall": 3000.0, "stopSendingWithin": 500.0,
+                      "tipMultiple": 2.0},
+            "familyInfo": {"mostUnits": 1, "usePeriod": 500.0},
+            "classes": [class("preview-fetch", "free"), class("job-submit", "single_shot")],
+            "plans": [{"name": "starter", "unitsPerS": 1000.0, "storeSize": 2000.0, "concurrency": 0,
+                       "price": 1.0, "excessWorth": 0.0, "overrunCost": 0.8, "neverOverRate": 0.0,
+                       "capDepth": 0.0, "tolerance": 0.0}],
+        },
+    })
+}
+
+/// The program. It is killed when the test ends.
+struct Front {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Front {
+    /// Starts the program and waits until it listens.
+    fn start(config: &Value) -> Front {
+        let address = config["listen"].as_str().expect("an address").parse().expect("an address");
+        let child = spawn(config, Stdio::inherit());
+        let until = Instant::now() + PATIENCE;
+        while TcpStream::connect(address).is_err() {
+            assert!(Instant::now() < until, "the front door does not listen");
+            thread::sleep(Duration::from_millis(5));
+        }
+        Front { child, address }
+    }
+    /// One in front of these backends, known to it from its start, with discovery dead.
+    fn before(backends: &[SocketAddr]) -> Front {
+        let targets: Vec<Value> = backends
+            .iter()
+            .enumerate()
+            .map(|(n, at)| target(&format!("s-0000000{n}"), *at, "ready"))
+            .collect();
+        Front::start(&config(closed_port(), list(&targets)))
+    }
+    fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("the front door accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { stream }
+    }
+    fn terminate(&self) {
+        let status = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        assert!(status.expect("kill runs").success());
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn spawn(config: &Value, errors: Stdio) -> Child {
+    static COUNT: AtomicU8 = AtomicU8::new(0);
+    let name = format!("config-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config.to_string()).expect("the configuration is written");
+    Command::new(env!("CARGO_BIN_EXE_brassport"))
+        .env("BALANCER_CONFIG", path)
+        .env_remove("BALANCER_LISTEN")
+        .env_remove("BALANCER_DISCOVERY")
+        .stderr(errors)
+        .spawn()
+        .expect("the program starts")
+}
+
+struct Client {
+    stream: TcpStream,
+}
+
+const HEADERS: &str = "Host: backend.local\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nPlan: starter\r\n\
+                       Cookie: client=00000000b4d65521\r\nQuota-Info: units=1,spread=1,first=0\r\n";
+
+fn get(path: &str) -> String {
+    format!(
+        "GET /preview-fetch{path} HTTP/1.1\r\n{HEADERS}X-Class: preview-fetch\r\nX-Deadline: 4000m\r\n\r\n"
+    )
+}
+
+fn post(body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /job-submit HTTP/1.1\r\n{HEADERS}X-Class: job-submit\r\nX-Deadline: 4000m\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+impl Client {
+    fn send(&mut self, request: &str) -> &mut Client {
+        self.stream.write_all(request.as_bytes()).expect("the request goes out");
+        self
+    }
+    fn read(&mut self) -> Message {
+        read_message(&self.stream).expect("an answer comes").expect("the connection stays until then")
+    }
+}
+
+#[test]
+fn serves_the_backends_answer_unchanged() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let mut client = front.client();
+    client.send(&post("a job").replace("/job-submit", "/job-submit/7?a=b%20c"));
+    let exchange = backend.next();
+    assert_eq!(exchange.request.line, "POST /job-submit/7?a=b%20c HTTP/1.1");
+    assert_eq!(exchange.request.header("x-request-id"), "9b1f03aa5c7e2d41");
+    assert_eq!(exchange.request.body, b"a job");
+    let wait = exchange.request.header("x-deadline").strip_suffix('u').expect("microseconds");
+    assert!((1..4_000_000).contains(&wait.parse().expect("a number")), "waits {wait} us");
+    let port = exchange.stream.peer_addr().expect("a peer").port();
+    exchange.answer("200 OK", "Usage-Percent: 40\r\nContent-Type: image/png\r\n", "frame");
+    let answer = client.read();
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"frame".as_slice()));
+    assert_eq!(answer.header("content-type"), "image/png");
+    assert_eq!(answer.header("usage-percent"), "", "the meter's figure is for the front door alone");
+
+    client.send(&get("/x"));
+    let exchange = backend.next();
+    assert_eq!(exchange.stream.peer_addr().expect("a peer").port(), port, "the connection is used again");
+    exchange.ok("again");
+    assert_eq!(client.read().body, b"again");
+}
+
+#[test]
+fn healthz_tells_whether_it_can_serve() {
+    let discovery = Discovery::start(list(&[]));
+    let backend = Peer::start();
+    let front = Front::start(&config(discovery.address, list(&[])));
+    let ask = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
+    assert_eq!(front.client().send(ask).read().status(), 503);
+    discovery.tell(json!([target("s-00000001", backend.address, "ready")]));
+    assert_eq!(front.client().send(ask).read().status(), 200);
+}
+
+#[test]
+fn refuses_at_once_and_says_when_to_come_back() {
+    let backend = Peer::start();
+    let known = list(&[target("s-00000001", backend.address, "draining")]);
+    let front = Front::start(&config(closed_port(), known));
+    let asked = Instant::now();
+    let answer = front.client().send(&get("")).read();
+    assert_eq!(answer.status(), 429);
+    assert_eq!(answer.header("retry-after"), "0.500");
+    assert!(asked.elapsed() < Duration::from_millis(1000), "not held back");
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_never_sent_again() {
+    for bytes in [
+        "",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+        "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+    ] {
+        let backends = [Peer::start(), Peer::start()];
+        let front = Front::before(&[backends[0].address, backends[1].address]);
+        let mut client = front.client();
+        client.send(&post("once"));
+        let first = next_of(&backends).0;
+        first.break_off(bytes);
+        assert_eq!(client.read().status(), 504, "after {bytes:?}");
+        // The marker is the next that any backend sees.
+        client.send(&post("marker"));
+        let (exchange, _) = next_of(&backends);
+        assert_eq!(exchange.request.body, b"marker");
+        exchange.ok("");
+        assert_eq!(client.read().status(), 200);
+    }
+}
+
+/// The next request that reaches one of the two, and which of them.
+fn next_of(peers: &[Peer; 2]) -> (Exchange, usize) {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        for (n, peer) in peers.iter().enumerate() {
+            if let Ok(exchange) = peer.exchanges.recv_timeout(Duration::from_millis(2)) {
+                return (exchange, n);
+            }
+        }
+        assert!(Instant::now() < until, "no request comes");
+    }
+}
+
+#[test]
+fn what_was_turned_away_goes_elsewhere() {
+    let backends = [Peer::start(), Peer::start()];
+    let front = Front::before(&[backends[0].address, backends[1].address]);
+    let mut client = front.client();
+    client.send(&post("a job"));
+    let (exchange, first) = next_of(&backends);
+    exchange.answer("503 Full", "X-Not-Run: 1\r\n", "");
+    let (exchange, second) = next_of(&backends);
+    assert_ne!(first, second);
+    assert_eq!(exchange.request.body, b"a job");
+    exchange.ok("done");
+    assert_eq!(client.read().status(), 200);
+}
+
+#[test]
+fn what_could_not_connect_was_never_sent() {
+    let front = Front::before(&[closed_port()]);
+    // Only a refusal, and no failure, says that nothing ran.
+    assert_eq!(front.client().send(&post("a job")).read().status(), 429);
+}
+
+#[test]
+fn an_idle_connection_that_the_backend_closed_costs_no_request() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let mut client = front.client();
+    for _ in 0..3 {
+        client.send(&post("a job"));
+        backend.next().break_off("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assert_eq!(client.read().status(), 200);
+    }
+}
+
+#[test]
+fn a_draining_backend_gets_nothing_new() {
+    let backends = [Peer::start(), Peer::start()];
+    let both = list(&[
+        target("s-00000001", backends[0].address, "ready"),
+        target("s-00000002", backends[1].address, "ready"),
+    ]);
+    let discovery = Discovery::start(both.clone());
+    let front = Front::start(&config(discovery.address, both));
+    discovery.tell(json!([target("s-00000001", backends[0].address, "draining")]));
+    let mut client = front.client();
+    for _ in 0..6 {
+        client.send(&get(""));
+        let (exchange, n) = next_of(&backends);
+        assert_eq!(n, 1, "the draining backend got a request");
+        exchange.ok("");
+        assert_eq!(client.read().status(), 200);
+    }
+}
+
+#[test]
+fn an_attempt_still_connecting_when_its_backend_drains_is_not_sent() {
+    let stuck = Stuck::start();
+    let known = list(&[target("s-00000001", stuck.address, "ready")]);
+    let discovery = Discovery::start(known.clone());
+    let mut config = config(discovery.address, known);
+    config["settings"]["bounds"]["connectTimeout"] = json!(30_000.0);
+    let front = Front::start(&config);
+    let mut client = front.client();
+    client.send(&post("a job"));
+    stuck.wait_for_connect();
+    discovery.tell(json!([target("s-00000001", stuck.address, "draining")]));
+    let reader = thread::spawn(move || client.read().status());
+    assert_eq!(String::from_utf8_lossy(&stuck.open()), "");
+    assert_eq!(reader.join().expect("an answer"), 429);
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_has_gone() {
+    let stuck = Stuck::start();
+    let mut config = config(closed_port(), list(&[target("s-00000001", stuck.address, "ready")]));
+    config["settings"]["bounds"]["connectTimeout"] = json!(30_000.0);
+    let front = Front::start(&config);
+    let mut client = front.client();
+    client.send(&post("a job"));
+    stuck.wait_for_connect();
+    drop(client);
+    assert_eq!(String::from_utf8_lossy(&stuck.open()), "");
+}
+
+#[test]
+fn a_client_that_goes_while_its_request_runs_disturbs_no_other() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let mut gone = front.client();
+    gone.send(&post("gone"));
+    let exchange = backend.next();
+    drop(gone);
+    let mut client = front.client();
+    client.send(&post("here"));
+    let here = backend.next();
+    exchange.ok("for nobody");
+    here.ok("for the one who stayed");
+    assert_eq!(client.read().body, b"for the one who stayed");
+}
+
+#[test]
+fn at_the_deadline_the_client_is_told_and_the_attempts_socket_closed() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let mut client = front.client();
+    let asked = Instant::now();
+    client.send(&post("a job").replace("4000m", "300000u"));
+    let mut exchange = backend.next();
+    assert_eq!(client.read().status(), 504);
+    assert!(asked.elapsed() >= Duration::from_millis(250), "given up early, after {:?}", asked.elapsed());
+    exchange.wait_for_close();
+}
+
+#[test]
+fn an_attempts_socket_is_closed_before_the_next_attempt_goes_out() {
+    let backends = [Peer::start(), Peer::start()];
+    let front = Front::before(&[backends[0].address, backends[1].address]);
+    let mut client = front.client();
+    client.send(&get(""));
+    let (mut silent, first) = next_of(&backends);
+    // The module gives up on the silent backend long before the deadline.
+    let (exchange, second) = next_of(&backends);
+    assert_ne!(first, second);
+    silent.stream.set_nonblocking(true).expect("the mode is set");
+    silent.wait_for_close();
+    exchange.ok("from the other");
+    assert_eq!(client.read().body, b"from the other");
+}
+
+#[test]
+fn malformed_input_gets_400_and_reaches_no_backend() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let good = get("");
+    let spoilt = [
+        ("X-Class: preview-fetch", "X-Class: nothing"),
+        ("X-Class: preview-fetch", "X-Class: job-submit"),
+        ("X-Class: preview-fetch\r\n", ""),
+        ("Plan: starter", "Plan: emperor"),
+        ("client=00000000b4d65521", "client=b4d65521"),
+        ("client=00000000b4d65521", "client=+0000000b4d65521"),
+        ("client=00000000b4d65521", "client=0000000200000000"),
+        ("units=1", "units=NaN"),
+        ("units=1", "units=-1"),
+        ("units=1", "units=1000000"),
+        ("spread=1", "spread=0"),
+        ("first=0", "first=9"),
+        ("X-Deadline: 4000m", "X-Deadline: 4000"),
+        ("X-Deadline: 4000m", "X-Deadline: -1m"),
+        ("X-Deadline: 4000m", "X-Deadline: infm"),
+        ("X-Request-Id: 9b1f03aa5c7e2d41\r\n", ""),
+    ];
+    for (right, wrong) in spoilt {
+        assert!(good.contains(right));
+        assert_eq!(front.client().send(&good.replace(right, wrong)).read().status(), 400, "{wrong:?}");
+    }
+    let long = "x".repeat(64 * 1024);
+    assert_eq!(front.client().send(&post(&format!("{long}x"))).read().status(), 400);
+
+    let mut client = front.client();
+    client.send(&post(&long));
+    let exchange = backend.next();
+    assert_eq!(exchange.request.body.len(), long.len(), "the first that the backend sees is well formed");
+    exchange.ok(&long);
+    assert_eq!(client.read().body.len(), long.len());
+}
+
+#[test]
+fn a_silent_discovery_disturbs_nothing_and_is_asked_anew() {
+    let backend = Peer::start();
+    let silent = Peer::start();
+    let front =
+        Front::start(&config(silent.address, list(&[target("s-00000001", backend.address, "ready")])));
+    let mut call = silent.next();
+    assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1");
+    let mut client = front.client();
+    client.send(&get(""));
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+    call.wait_for_close();
+    // What makes no sense is no list, and the list held stays in force.
+    silent.next().ok("{\"rev\":");
+    let call = silent.next();
+    assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1");
+    client.send(&get(""));
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+    call.ok(&list(&[]).to_string());
+    assert_eq!(silent.next().request.line, "GET /v1/servers?after=1&wait_ms=1000 HTTP/1.1");
+    assert_eq!(client.send(&get("")).read().status(), 429, "no backend is left");
+}
+
+#[test]
+fn sigterm_ends_it_in_order() {
+    let backend = Peer::start();
+    let mut front = Front::before(&[backend.address]);
+    let mut idle = front.client();
+    idle.send(&get(""));
+    backend.next().ok("");
+    assert_eq!(idle.read().status(), 200);
+    let mut busy = front.client();
+    busy.send(&post("in hand"));
+    let in_hand = backend.next();
+    front.terminate();
+    // Until the signal has come, answers keep their connections.
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let mut late = front.client();
+        late.send(&get(""));
+        backend.next().ok("late");
+        let answer = late.read();
+        assert_eq!(answer.status(), 200);
+        if answer.header("connection") == "close" {
+            break;
+        }
+        assert!(Instant::now() < until, "the signal does nothing");
+    }
+    let mut byte = [0];
+    assert_eq!(idle.stream.read(&mut byte).expect("an orderly end"), 0, "idle connections are closed");
+    in_hand.ok("finished");
+    let answer = busy.read();
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    assert!(front.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn bad_configuration_ends_with_one_plain_line() {
+    let mut bad = config(closed_port(), list(&[]));
+    bad["settings"]["plans"][0]["unitsPerS"] = json!(-1.0);
+    let output = spawn(&bad, Stdio::piped()).wait_with_output().expect("it ends");
+    assert!(!output.status.success());
+    let said = String::from_utf8(output.stderr).expect("text");
+    assert_eq!(said, "brassport: setting plans[0].rate: must be a finite number, not below 0\n");
+}
