Survive a shortage of descriptors, a log that nobody takes and a false method

Seen: with limits.sockets at 48 and 60 idle clients, no further client got an answer within 20 s; with the reader of standard error gone, the program ended at the module's first log line; a POST of a class that is safe to repeat went on to a backend. Checked: a test for each, which failed before and passes now. Ruled out as a mend: closing a connection right after it was accepted, as a request may be written to it already and would be lost. Cause and lines: accept() in clients.rs waited for a descriptor while idle connections held them all, and RESERVE was more than a small limit has; eprintln! in door.rs panics when it cannot write, and a panic ends the process, as it should; check() in clients.rs did not look at the method. Now idle connections, to backends first, give way, the reserve is a quarter of a small limit, and the log's errors are passed over.

--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use springusher::Settings;
+use springusher::{Effect, Settings};
 use std::convert::Infallible;
 use std::io;
 use std::pin::pin;
@@ -26,8 +26,10 @@
 /// A client's time runs from when it sent the request to when it has the whole answer: so much is kept back
 /// for the way here and back.
 const MARGIN: Duration = Duration::from_millis(4);
-/// Descriptors that are kept for attempts: with fewer left, clients are told to come back.
+/// Descriptors that are kept for attempts, and the part of all that they are at the most: with fewer left,
+/// idle connections are closed and new clients told to come back.
 const RESERVE: usize = 64;
+const RESERVE_PART: usize = 4;
 /// How long a client may take over a request, or leave its connection idle.
 const PATIENCE: Duration = Duration::from_secs(60);
 const BODY_PATIENCE: Duration = Duration::from_secs(10);
@@ -71,18 +73,35 @@
 
 /// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
 pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>) {
+    let reserve = RESERVE.min(descriptors.available_permits() / RESERVE_PART);
+    let (shed, _) = watch::channel(());
+    // Guards against connections that stand idle and hold all descriptors.
+    let spare = |least: usize| {
+        while descriptors.available_permits() < least && desk.backends.shed_idle() {}
+        let spare = descriptors.available_permits() >= least;
+        if !spare {
+            shed.send_replace(());
+        }
+        spare
+    };
     let mut phase = desk.phase.clone();
     let mut connections = JoinSet::new();
     loop {
-        let next = accept(&listener, &descriptors);
+        // The next connection once there is a descriptor for it; until then it waits in the backlog.
+        let next = async {
+            spare(1);
+            let descriptor = descriptors.clone().acquire_owned().await.map_err(io::Error::other)?;
+            let (stream, _) = listener.accept().await?;
+            Ok::<_, io::Error>((stream, descriptor))
+        };
         tokio::select! {
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
             Some(_) = connections.join_next() => {}
             next = next => match next {
                 Ok((stream, descriptor)) => {
-                    while descriptors.available_permits() < RESERVE && desk.backends.shed_idle() {}
-                    let crowded = descriptors.available_permits() < RESERVE;
-                    connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded));
+                    let crowded = !spare(reserve);
+                    let shed = shed.subscribe();
+                    connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, shed));
                 }
                 // Guards against a spin where the system is out of descriptors or the like.
                 Err(_) => sleep(BACK_OFF).await,
@@ -93,17 +112,14 @@
     while connections.join_next().await.is_some() {}
 }
 
-/// The next connection, once there is a descriptor to spare for it; until then it waits in the backlog.
-async fn accept(
-    listener: &TcpListener,
-    descriptors: &Arc<Semaphore>,
-) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
-    let descriptor = descriptors.clone().acquire_owned().await.map_err(io::Error::other)?;
-    let (stream, _) = listener.accept().await?;
-    Ok((stream, descriptor))
-}
-
-async fn connection(stream: TcpStream, _descriptor: OwnedSemaphorePermit, desk: Rc<Desk>, crowded: bool) {
+/// Serves one client's connection to its end. One that came while descriptors were short gets refusals.
+async fn connection(
+    stream: TcpStream,
+    _descriptor: OwnedSemaphorePermit,
+    desk: Rc<Desk>,
+    crowded: bool,
+    mut shed: watch::Receiver<()>,
+) {
     let _ = stream.set_nodelay(true);
     let mut phase = desk.phase.clone();
     let service = service_fn(|request| {
@@ -122,12 +138,13 @@
     let mut serving = pin!(builder.serve_connection(TokioIo::new(stream), service));
     // A connection's error is its client's: it has gone, or what it sent is no HTTP.
     tokio::select! {
-        _ = serving.as_mut() => {}
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
-            serving.as_mut().graceful_shutdown();
-            let _ = serving.await;
-        }
+        _ = serving.as_mut() => return,
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
+        _ = shed.changed() => {}
     }
+    // An idle one closes now, a busy one behind its answer.
+    serving.as_mut().graceful_shutdown();
+    let _ = serving.await;
 }
 
 async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Full<Bytes>> {
@@ -202,6 +219,10 @@
     if head.uri.path().split('/').nth(1) != Some(&desk.names.classes[class]) {
         return Err("the path does not begin with the class");
     }
+    // The method follows from the class: a request that may be sent again must be one that says so itself.
+    if (desk.settings.classes[class].effect == Effect::Free) != (head.method == Method::GET) {
+        return Err("the method is not the class's");
+    }
     let plan = index(&desk.names.plans, field("plan")).ok_or("Plan names no plan")?;
     let customer = field("cookie").and_then(customer).ok_or("the cookie names no client")?;
     let most = Duration::from_secs_f64(desk.settings.classes[class].deadline / 1000.0);
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -231,7 +232,8 @@
             }
             // The program follows the list from its start, whoever asks.
             Action::FollowServers => {}
-            Action::Log(text) => eprintln!("brassport: {text}"),
+            // A log that nobody takes is no reason to end.
+            Action::Log(text) => drop(writeln!(io::stderr(), "brassport: {text}")),
         }
     }
 
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -252,8 +252,11 @@
 impl Front {
     /// Starts the program and waits until it listens.
     fn start(config: &Value) -> Front {
+        Front::start_with(config, Stdio::inherit())
+    }
+    fn start_with(config: &Value, errors: Stdio) -> Front {
         let address = config["listen"].as_str().expect("an address").parse().expect("an address");
-        let child = spawn(config, Stdio::inherit());
+        let child = spawn(config, errors);
         let until = Instant::now() + PATIENCE;
         while TcpStream::connect(address).is_err() {
             assert!(Instant::now() < until, "the front door does not listen");
@@ -556,6 +559,7 @@
         ("X-Class: preview-fetch", "X-Class: nothing"),
         ("X-Class: preview-fetch", "X-Class: job-submit"),
         ("X-Class: preview-fetch\r\n", ""),
+        ("GET ", "POST "),
         ("Plan: starter", "Plan: emperor"),
         ("client=00000000b4d65521", "client=b4d65521"),
         ("client=00000000b4d65521", "client=+0000000b4d65521"),
@@ -643,6 +647,53 @@
     assert!(front.child.wait().expect("it ends").success());
 }
 
+#[test]
+fn sigterm_ends_it_though_a_backend_is_silent() {
+    let backend = Peer::start();
+    let mut front = Front::before(&[backend.address]);
+    let mut client = front.client();
+    client.send(&post("a job"));
+    let _silent = backend.next();
+    front.terminate();
+    assert_eq!(client.read().status(), 504);
+    assert!(front.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn idle_connections_give_way_when_descriptors_run_out() {
+    let backend = Peer::start();
+    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    config["limits"]["sockets"] = json!(48);
+    let front = Front::start(&config);
+    let _idle: Vec<Client> = (0..60).map(|_| front.client()).collect();
+    let served = thread::spawn(move || backend.next().ok("served"));
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let status = front.client().send(&get("")).read().status();
+        if status == 200 {
+            break;
+        }
+        assert_eq!(status, 429);
+        assert!(Instant::now() < until, "the idle connections keep all others out");
+    }
+    served.join().expect("the backend serves one");
+}
+
+#[test]
+fn a_log_that_nobody_takes_ends_nothing() {
+    let known = list(&[target("s-00000001", closed_port(), "draining")]);
+    let config = config(closed_port(), known);
+    let mut front = Front::start_with(&config, Stdio::piped());
+    drop(front.child.stderr.take());
+    let mut client = front.client();
+    // The module reports once a second that it has no server.
+    let until = Instant::now() + Duration::from_millis(2500);
+    while Instant::now() < until {
+        assert_eq!(client.send(&get("")).read().status(), 429);
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 #[test]
 fn bad_configuration_ends_with_one_plain_line() {
     let mut bad = config(closed_port(), list(&[]));
