Keep headers that a Connection header names from going further

Reading the program against HTTP: a header named in Connection was passed on to the backend. Checked: the test that serves a request sends such a header; it failed before and passes now. Cause and lines: pass_on() in clients.rs removed the usual hop-by-hop headers only.

--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -194,7 +194,17 @@
     response
 }
 
+/// What of a message's headers goes on to the other side.
 fn pass_on(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|names| names.split(',').filter_map(|name| name.trim().parse().ok()))
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
     for name in NOT_PASSED_ON {
         headers.remove(name);
     }
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -341,10 +341,12 @@
     let backend = Peer::start();
     let front = Front::before(&[backend.address]);
     let mut client = front.client();
-    client.send(&post("a job").replace("/job-submit", "/job-submit/7?a=b%20c"));
+    let job = post("a job").replace("/job-submit", "/job-submit/7?a=b%20c");
+    client.send(&job.replace("Plan:", "Connection: X-Hop\r\nX-Hop: 1\r\nPlan:"));
     let exchange = backend.next();
     assert_eq!(exchange.request.line, "POST /job-submit/7?a=b%20c HTTP/1.1");
     assert_eq!(exchange.request.header("x-request-id"), "9b1f03aa5c7e2d41");
+    assert_eq!(exchange.request.header("x-hop"), "", "it speaks of the client's connection alone");
     assert_eq!(exchange.request.body, b"a job");
     let wait = exchange.request.header("x-deadline").strip_suffix('u').expect("microseconds");
     assert!((1..4_000_000).contains(&wait.parse().expect("a number")), "waits {wait} us");
