Take SIGHUP: read the file anew and watch at its discovery

Checked: a test that sends SIGHUP to the program failed before (the program died) and passes now, with half a file, with BALANCER_DISCOVERY set to the old address, twice in a row, and with SIGTERM right behind. Ruled out: other ends of the process, as the exit status is that of the signal. Cause and lines: front_door() in main.rs took SIGTERM only, and discovery::watch() held one address for good. Now a new file is read and checked whole, its discovery goes before the environment, and the watch begins there at once with a whole list; a bad file is one log line.

--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -138,21 +138,27 @@
     tolerance: f64,
 }
 
-/// Reads the configuration.
+/// Which of the environment and the file goes before the other in what both say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum First {
+    /// At the start: the environment is as new as the file.
+    Environment,
+    /// When the file has been replaced under a running program, whose environment is of its start.
+    File,
+}
+
+/// Reads and checks the whole configuration.
 ///
 /// # Errors
 /// One plain line on what is missing or makes no sense.
-pub fn read() -> Result<Config, String> {
+pub fn read(first: First) -> Result<Config, String> {
     let path = env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
     let text = fs::read_to_string(&path).map_err(|error| format!("cannot read {path}: {error}"))?;
-    parse(&text, |name| env::var(name).ok())
-}
-
-/// The environment, where it says something, goes before the file.
-fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let file: File = serde_json::from_str(text).map_err(|error| format!("configuration: {error}"))?;
+    let file: File = serde_json::from_str(&text).map_err(|error| format!("configuration: {error}"))?;
     let address = |name: &str, written: Option<String>| {
-        let text = variable(name).or(written).ok_or_else(|| format!("{name} is not set"))?;
+        let said = env::var(name).ok();
+        let text = if first == First::File { written.or(said) } else { said.or(written) };
+        let text = text.ok_or_else(|| format!("{name} is not set"))?;
         text.parse::<SocketAddr>().map_err(|_| format!("{name}: '{text}' is no address with a port"))
     };
     let seed = u64::from_str_radix(&file.seed, 16)
--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/discovery.rs
@@ -10,11 +10,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// How long a watch may wait for news, and how long its answer may take beyond that.
 const WAIT: Duration = Duration::from_millis(1000);
 const OVERDUE: Duration = Duration::from_millis(1000);
+/// How long a connection may take to come up: the agent is on this machine.
+const CONNECT: Duration = Duration::from_millis(500);
 /// Between an answer and the next call: a watch goes on if the call comes within 200 ms, and an agent that
 /// answers at once, whatever it is asked, must not keep the door busy.
 const PACE: Duration = Duration::from_millis(20);
@@ -58,8 +61,19 @@
     Unknown,
 }
 
-/// Watches for ever. Whatever the agent does, the list held stays in force.
-pub async fn watch(address: SocketAddr, door: Rc<Door>) {
+/// Watches for ever, from the start again wherever discovery moves to.
+pub async fn follow(mut address: watch::Receiver<SocketAddr>, door: Rc<Door>) {
+    loop {
+        let at = *address.borrow_and_update();
+        tokio::select! {
+            () = watch_at(at, &door) => {}
+            moved = address.changed() => if moved.is_err() { return },
+        }
+    }
+}
+
+/// Watches at one address. Whatever the agent does, the list held stays in force.
+async fn watch_at(address: SocketAddr, door: &Rc<Door>) {
     let mut link = None;
     let mut last = None;
     let mut back_off = FIRST_BACK_OFF;
@@ -95,7 +109,7 @@
     }
     let open = match link {
         Some(open) => open,
-        None => link.insert(Link::open(address).await.ok()?),
+        None => link.insert(timeout(CONNECT, Link::open(address)).await.ok()?.ok()?),
     };
     let answer = open.exchange(request, LIST_LIMIT).await.ok()?;
     if answer.status() != StatusCode::OK {
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -3,6 +3,7 @@
 
 use crate::backends::{Backends, End, Message};
 use crate::discovery::{List, State, Target};
+use crate::log;
 use hyper::body::Bytes;
 use hyper::Response;
 use springusher::{Action, AttemptEnd, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis};
@@ -10,7 +11,6 @@
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
-use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -235,8 +235,7 @@
             }
             // The program follows the list from its start, whoever asks.
             Action::FollowServers => {}
-            // A log that nobody takes is no reason to end.
-            Action::Log(text) => drop(writeln!(io::stderr(), "brassport: {text}")),
+            Action::Log(text) => log::line(text),
         }
     }
 
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -7,10 +7,11 @@
 mod discovery;
 mod door;
 mod link;
+mod log;
 
 use backends::Backends;
 use clients::{Desk, Phase};
-use config::Config;
+use config::{Config, First};
 use door::Door;
 use springusher::ListKind;
 use std::process::ExitCode;
@@ -39,7 +40,7 @@
         report(panic);
         std::process::abort();
     }));
-    match config::read().and_then(run) {
+    match config::read(First::Environment).and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             eprintln!("brassport: {problem}");
@@ -60,8 +61,8 @@
     let spare = config.sockets.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
     let spare = spare.ok_or_else(|| format!("limits.sockets: {} are too few", config.sockets))?;
     let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
-    let mut terminate =
-        signal(SignalKind::terminate()).map_err(|error| format!("cannot take signals: {error}"))?;
+    let take = |kind| signal(kind).map_err(|error| format!("cannot take signals: {error}"));
+    let (mut terminate, mut reload) = (take(SignalKind::terminate())?, take(SignalKind::hangup())?);
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
@@ -74,7 +75,8 @@
         .map_err(|error| error.to_string())?;
     door.servers(ListKind::Cached, config.known);
     spawn_local(door.clone().keep_time());
-    spawn_local(discovery::watch(config.discovery, door.clone()));
+    let (discovery, seen) = watch::channel(config.discovery);
+    spawn_local(discovery::follow(seen, door.clone()));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
@@ -88,7 +90,16 @@
     });
     let mut serving = spawn_local(clients::serve(listener, desk, descriptors));
 
-    terminate.recv().await;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => match config::read(First::File) {
+                Ok(config) => drop(discovery.send_replace(config.discovery)),
+                // Guards against half a file: what is in force stays so.
+                Err(problem) => log::line(format!("not reloaded: {problem}")),
+            },
+        }
+    }
     phase.send_replace(Phase::Leaving);
     sleep(LEAVING).await;
     phase.send_replace(Phase::Closing);
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -247,6 +247,8 @@
 struct Front {
     child: Child,
     address: SocketAddr,
+    /// The file of its configuration.
+    file: PathBuf,
 }
 
 impl Front {
@@ -256,13 +258,14 @@
     }
     fn start_with(config: &Value, errors: Stdio) -> Front {
         let address = config["listen"].as_str().expect("an address").parse().expect("an address");
-        let child = spawn(config, errors);
+        let file = write_config(config);
+        let child = spawn(&file, config, errors);
         let until = Instant::now() + PATIENCE;
         while TcpStream::connect(address).is_err() {
             assert!(Instant::now() < until, "the front door does not listen");
             thread::sleep(Duration::from_millis(5));
         }
-        Front { child, address }
+        Front { child, address, file }
     }
     /// One in front of these backends, known to it from its start, with discovery dead.
     fn before(backends: &[SocketAddr]) -> Front {
@@ -279,7 +282,10 @@
         Client { stream }
     }
     fn terminate(&self) {
-        let status = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        self.signal("-TERM");
+    }
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(status.expect("kill runs").success());
     }
 }
@@ -291,15 +297,20 @@
     }
 }
 
-fn spawn(config: &Value, errors: Stdio) -> Child {
+/// Writes a configuration to a file of its own.
+fn write_config(config: &Value) -> PathBuf {
     static COUNT: AtomicU8 = AtomicU8::new(0);
     let name = format!("config-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config.to_string()).expect("the configuration is written");
+    path
+}
+
+fn spawn(file: &Path, config: &Value, errors: Stdio) -> Child {
     Command::new(env!("CARGO_BIN_EXE_brassport"))
-        .env("BALANCER_CONFIG", path)
-        .env_remove("BALANCER_LISTEN")
-        .env_remove("BALANCER_DISCOVERY")
+        .env("BALANCER_CONFIG", file)
+        .env("BALANCER_LISTEN", config["listen"].as_str().expect("an address"))
+        .env("BALANCER_DISCOVERY", config["discovery"].as_str().expect("an address"))
         .stderr(errors)
         .spawn()
         .expect("the program starts")
@@ -666,6 +677,48 @@
     assert!(asked.elapsed() < Duration::from_millis(8000), "it took {:?}", asked.elapsed());
 }
 
+#[test]
+fn sighup_moves_the_watch_to_the_new_files_discovery() {
+    let (backend, first, second) = (Peer::start(), Peer::start(), Peer::start());
+    let mut config = config(first.address, list(&[target("s-00000001", backend.address, "ready")]));
+    let mut front = Front::start_with(&config, Stdio::piped());
+    let mut log = BufReader::new(front.child.stderr.take().expect("a pipe"));
+    first.next().ok(&list(&[target("s-00000001", backend.address, "ready")]).to_string());
+    let mut old = first.next();
+
+    // Half a file changes nothing, and says so once.
+    std::fs::write(&front.file, &config.to_string()[..99]).expect("the file is replaced");
+    front.signal("-HUP");
+    let mut line = String::new();
+    log.read_line(&mut line).expect("a line");
+    assert!(line.starts_with("brassport: not reloaded: configuration: "), "{line:?}");
+    let mut client = front.client();
+    client.send(&get(""));
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+
+    // The file goes before BALANCER_DISCOVERY now, and a repeated signal begins the watch once more.
+    config["discovery"] = json!(second.address.to_string());
+    std::fs::write(&front.file, config.to_string()).expect("the file is replaced");
+    for _ in 0..2 {
+        front.signal("-HUP");
+        old.wait_for_close();
+        old = second.next();
+        assert_eq!(old.request.line, "GET /v1/servers HTTP/1.1");
+    }
+    let moved = Peer::start();
+    old.ok(&list(&[target("s-00000002", moved.address, "ready")]).to_string());
+    second.next();
+    client.send(&get(""));
+    moved.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+
+    front.signal("-HUP");
+    front.terminate();
+    drop(client);
+    assert!(front.child.wait().expect("it ends").success());
+}
+
 #[test]
 fn idle_connections_give_way_when_descriptors_run_out() {
     let backend = Peer::start();
@@ -705,7 +758,7 @@
 fn bad_configuration_ends_with_one_plain_line() {
     let mut bad = config(closed_port(), list(&[]));
     bad["settings"]["plans"][0]["unitsPerS"] = json!(-1.0);
-    let output = spawn(&bad, Stdio::piped()).wait_with_output().expect("it ends");
+    let output = spawn(&write_config(&bad), &bad, Stdio::piped()).wait_with_output().expect("it ends");
     assert!(!output.status.success());
     let said = String::from_utf8(output.stderr).expect("text");
     assert_eq!(said, "brassport: setting plans[0].rate: must be a finite number, not below 0\n");
