Bound how long clients may take to ask, and close first what nobody waits on

Checked, each with a test that failed before and passes now: a request hidden behind Transfer-Encoding and Content-Length is served in neither order of the headers any more; an id that is open here gets 409 until its last attempt has ended; malformed ids and repeated headers get 400; a silent client, half a head, half a body and half a second head get an end within 3 s; a declared length over the limit gets 413 with none of it read, and the answer reaches a client that goes on sending 60 MB; silent clients give way to usual ones. hyper's source confirms the first: its parser removes Content-Length from the headers where Transfer-Encoding stands too, before or behind it, so a check of both headers could never see them together. Cause and lines: answer() and check() in clients.rs, PATIENCE of 60 s and BODY_PATIENCE of 10 s; shed closed every idle connection at once (serve()). Now callers.rs keeps each connection's stage, closes what is overdue, sheds in order, and lingers so that an early answer is not lost to a reset. Bodies in hand take an eighth of memory_mb together, a head 16 KiB.

--- /dev/null
+++ b/src/bin/brassport/callers.rs
@@ -0,0 +1,223 @@
+//! The clients' connections as such: how far each has come, which of them to close, and how.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{timeout, Instant};
+
+/// How long all of a request may take to come, from the connection's start or its own first byte: a client
+/// that has not asked by then is owed an end within 3 s.
+const ASKING: Duration = Duration::from_millis(2500);
+/// How long a connection may stand idle behind an answer, and how long at least: a client may be about to use
+/// it, or may not have got all of the answer yet.
+const IDLE: Duration = Duration::from_secs(10);
+const LEAST_IDLE: Duration = Duration::from_secs(2);
+/// A client that has sent nothing for that long is not about to.
+const SHY: Duration = Duration::from_millis(100);
+/// How long what a client is still sending is read, so that it finds the answer it was given before.
+const LINGER: Duration = Duration::from_millis(2000);
+
+/// What a connection is at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// No whole request has come on it yet.
+    New,
+    /// A request is in hand.
+    Open,
+    /// Answered, with nothing of a further request.
+    Idle,
+    /// Some of a further request has come.
+    Asking,
+    /// What came made no sense; the answer that says so is the last.
+    Last,
+    /// It was told to close.
+    Leaving,
+}
+
+#[derive(Debug)]
+struct State {
+    stage: Cell<Stage>,
+    since: Cell<Instant>,
+    dismiss: Notify,
+}
+
+impl State {
+    fn leave(&self) {
+        self.stage.set(Stage::Leaving);
+        self.dismiss.notify_one();
+    }
+    fn overdue(&self) -> bool {
+        let most = match self.stage.get() {
+            Stage::New | Stage::Asking => ASKING,
+            Stage::Idle | Stage::Last => IDLE,
+            Stage::Open | Stage::Leaving => return false,
+        };
+        self.since.get().elapsed() >= most
+    }
+}
+
+/// All connections of clients, in the order in which they came.
+#[derive(Debug, Default)]
+pub struct Callers {
+    all: RefCell<BTreeMap<u64, Rc<State>>>,
+    last: Cell<u64>,
+}
+
+impl Callers {
+    pub fn enter(self: &Rc<Self>) -> Caller {
+        let number = self.last.get() + 1;
+        self.last.set(number);
+        let state = Rc::new(State {
+            stage: Cell::new(Stage::New),
+            since: Cell::new(Instant::now()),
+            dismiss: Notify::new(),
+        });
+        self.all.borrow_mut().insert(number, state.clone());
+        Caller { all: self.clone(), number, state }
+    }
+
+    /// How many were told to close and have not yet.
+    pub fn leaving(&self) -> usize {
+        self.all.borrow().values().filter(|state| state.stage.get() == Stage::Leaving).count()
+    }
+
+    /// Closes the connection whose client has the least use for it: one that had time to ask and did not, else
+    /// one that is idle behind its answer, the longest so first, else one that is still new. False if there is
+    /// none.
+    pub fn shed(&self) -> bool {
+        let all = self.all.borrow();
+        let longest = |stage, least| {
+            let of_stage = all.values().filter(move |state| state.stage.get() == stage);
+            let longest = of_stage.min_by_key(|state| state.since.get());
+            longest.filter(|state| state.since.get().elapsed() >= least)
+        };
+        let chosen = longest(Stage::New, SHY)
+            .or_else(|| longest(Stage::Idle, LEAST_IDLE))
+            .or_else(|| longest(Stage::New, Duration::ZERO));
+        if let Some(state) = chosen {
+            state.leave();
+        }
+        chosen.is_some()
+    }
+
+    /// Closes the connections whose time is up.
+    pub fn sweep(&self) {
+        for state in self.all.borrow().values().filter(|state| state.overdue()) {
+            state.leave();
+        }
+    }
+}
+
+/// One client's connection among all; it is taken off when this is dropped.
+pub struct Caller {
+    all: Rc<Callers>,
+    number: u64,
+    state: Rc<State>,
+}
+
+impl Caller {
+    /// Notes a new stage. What was told to close stays so only until it turns out to be in use.
+    pub fn stage(&self, stage: Stage) {
+        // A request's time begins with its first byte, not when all of its head is there.
+        let begun = matches!(self.at(), Stage::New | Stage::Asking) && stage == Stage::Open;
+        if !begun {
+            self.state.since.set(Instant::now());
+        }
+        self.state.stage.set(stage);
+    }
+    pub fn at(&self) -> Stage {
+        self.state.stage.get()
+    }
+    /// When all of the request that is coming in must be there.
+    pub fn asking_until(&self) -> Instant {
+        self.state.since.get() + ASKING
+    }
+    /// Waits until the connection is to close. Guards against closing it on a request that came meanwhile.
+    pub async fn dismissed(&self) {
+        loop {
+            self.state.dismiss.notified().await;
+            if self.at() == Stage::Leaving {
+                return;
+            }
+        }
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.all.all.borrow_mut().remove(&self.number);
+    }
+}
+
+/// A client's socket, which tells its caller's stage of the first byte behind an answer.
+pub struct Wire {
+    stream: TcpStream,
+    caller: Rc<Caller>,
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream, caller: Rc<Caller>) -> Wire {
+        Wire { stream, caller }
+    }
+
+    /// Ends the sending, then reads what still comes until the client ends too, for a bounded time. Guards
+    /// against an answer that is lost: closing a socket with bytes unread resets the connection.
+    pub async fn linger(mut self) {
+        let drain = async {
+            self.stream.shutdown().await?;
+            let mut bytes = vec![0; 16 * 1024];
+            while self.stream.read(&mut bytes).await? > 0 {}
+            Ok::<_, io::Error>(())
+        };
+        // Its end is all that is waited for.
+        let _ = timeout(LINGER, drain).await;
+    }
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before && self.caller.at() == Stage::Idle {
+            self.caller.stage(Stage::Asking);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -1,42 +1,47 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
 use crate::backends::{Backends, Message, BODY_LIMIT};
+use crate::callers::{Caller, Callers, Stage, Wire};
 use crate::config::Names;
 use crate::door::{Answer, Door};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use springusher::{Effect, Settings};
 use std::convert::Infallible;
 use std::io;
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{interval, sleep, timeout_at, Instant, MissedTickBehavior};
 
 /// A client's time runs from when it sent the request to when it has the whole answer: so much is kept back
 /// for the way here and back.
 const MARGIN: Duration = Duration::from_millis(4);
 /// Descriptors that are kept for attempts, and the part of all that they are at the most: with fewer left,
-/// idle connections are closed and new clients told to come back.
+/// connections that nobody waits on are closed.
 const RESERVE: usize = 64;
 const RESERVE_PART: usize = 4;
-/// How long a client may take over a request, or leave its connection idle.
-const PATIENCE: Duration = Duration::from_secs(60);
-const BODY_PATIENCE: Duration = Duration::from_secs(10);
+/// Most bytes of a request's head.
+const HEAD_LIMIT: usize = 16 * 1024;
+/// Between two looks for connections whose time is up.
+const SWEEP: Duration = Duration::from_millis(100);
 /// After a failed accept.
 const BACK_OFF: Duration = Duration::from_millis(20);
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
+/// Most bytes of a request's id.
+const ID_LIMIT: usize = 128;
+/// Headers that say what is asked.
+const OURS: [&str; 7] = ["x-request-id", "x-class", "plan", "cookie", "x-deadline", "quota-info", "x-retry"];
 /// Headers that speak of one connection, or of this front door's own business, and go no further.
 const NOT_PASSED_ON: [HeaderName; 11] = [
     header::CONNECTION,
@@ -69,23 +74,28 @@
     pub names: Names,
     pub settings: Settings,
     pub phase: watch::Receiver<Phase>,
+    /// Bytes that the bodies in hand may still take, all together.
+    pub bodies: Semaphore,
 }
 
 /// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
 pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>) {
     let reserve = RESERVE.min(descriptors.available_permits() / RESERVE_PART);
-    let (shed, _) = watch::channel(());
-    // Guards against connections that stand idle and hold all descriptors.
+    let callers = Rc::new(Callers::default());
+    // Guards against connections that nobody waits on and that hold all descriptors. Those that a client
+    // most likely has no more use for go first.
     let spare = |least: usize| {
-        while descriptors.available_permits() < least && desk.backends.shed_idle() {}
-        let spare = descriptors.available_permits() >= least;
-        if !spare {
-            shed.send_replace(());
+        while descriptors.available_permits() + callers.leaving() < least {
+            if !callers.shed() && !desk.backends.shed_idle() {
+                return false;
+            }
         }
-        spare
+        true
     };
     let mut phase = desk.phase.clone();
     let mut connections = JoinSet::new();
+    let mut sweeps = interval(SWEEP);
+    sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         // The next connection once there is a descriptor for it; until then it waits in the backlog.
         let next = async {
@@ -96,12 +106,13 @@
         };
         tokio::select! {
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+            _ = sweeps.tick() => callers.sweep(),
             Some(_) = connections.join_next() => {}
             next = next => match next {
                 Ok((stream, descriptor)) => {
                     let crowded = !spare(reserve);
-                    let shed = shed.subscribe();
-                    connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, shed));
+                    let caller = callers.enter();
+                    connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, caller));
                 }
                 // Guards against a spin where the system is out of descriptors or the like.
                 Err(_) => sleep(BACK_OFF).await,
@@ -112,60 +123,93 @@
     while connections.join_next().await.is_some() {}
 }
 
-/// Serves one client's connection to its end. One that came while descriptors were short gets refusals.
+/// Serves one client's connection to its end. One that came while all others were busy gets refusals.
 async fn connection(
     stream: TcpStream,
     _descriptor: OwnedSemaphorePermit,
     desk: Rc<Desk>,
     crowded: bool,
-    mut shed: watch::Receiver<()>,
+    caller: Caller,
 ) {
     let _ = stream.set_nodelay(true);
+    let caller = Rc::new(caller);
+    let wire = Wire::new(stream, caller.clone());
     let mut phase = desk.phase.clone();
     let service = service_fn(|request| {
-        let desk = desk.clone();
+        caller.stage(Stage::Open);
+        let (desk, caller) = (desk.clone(), caller.clone());
         async move {
-            let mut response =
-                if crowded { refusal(desk.settings.max_retry_after) } else { answer(&desk, request).await };
-            if crowded || *desk.phase.borrow() != Phase::Serving {
+            let response = if crowded {
+                Err(refusal(desk.settings.max_retry_after))
+            } else {
+                answer(&desk, request, caller.asking_until()).await
+            };
+            caller.stage(if response.is_err() { Stage::Last } else { Stage::Idle });
+            let last = response.is_err() || *desk.phase.borrow() != Phase::Serving;
+            let (Ok(mut response) | Err(mut response)) = response;
+            if last {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
         }
     });
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(PATIENCE).max_buf_size(BODY_LIMIT);
-    let mut serving = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    // A connection's error is its client's: it has gone, or what it sent is no HTTP.
-    tokio::select! {
-        _ = serving.as_mut() => return,
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
-        _ = shed.changed() => {}
+    let mut serving =
+        http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(TokioIo::new(wire), service);
+    let mut closing = false;
+    let ended = loop {
+        tokio::select! {
+            ended = &mut serving => break ended,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing), if !closing => {
+                // An idle one closes now, a busy one behind its answer.
+                closing = true;
+                std::pin::Pin::new(&mut serving).graceful_shutdown();
+            }
+            // Nobody waits for an answer on it.
+            () = caller.dismissed() => return,
+        }
+    };
+    // Its client has gone, or what it sent is no HTTP and was answered so; else it was closed in order.
+    if ended.is_err() || caller.at() == Stage::Last {
+        serving.into_parts().io.into_inner().linger().await;
     }
-    // An idle one closes now, a busy one behind its answer.
-    serving.as_mut().graceful_shutdown();
-    let _ = serving.await;
 }
 
-async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Full<Bytes>> {
+/// The answer to a request; an error if its connection must not be used again. `asked_by` is when all of the
+/// request must have come.
+async fn answer(
+    desk: &Desk,
+    request: Request<Incoming>,
+    asked_by: Instant,
+) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
     let came = Instant::now();
+    // Guards against a request hidden in another's body: hyper takes out a Content-Length that stands beside
+    // a Transfer-Encoding, so that nobody behind it can tell. No client here has need of the latter.
+    if request.headers().contains_key(header::TRANSFER_ENCODING) {
+        return Err(text(StatusCode::BAD_REQUEST, "Transfer-Encoding is not taken"));
+    }
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
         let up = *desk.phase.borrow() == Phase::Serving && desk.backends.any_ready();
-        return text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+        return Ok(text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
     }
     let (head, body) = request.into_parts();
-    let asked = match check(&head, desk) {
-        Ok(asked) => asked,
-        Err(problem) => return text(StatusCode::BAD_REQUEST, problem),
-    };
-    let body = match timeout(BODY_PATIENCE, Limited::new(body, BODY_LIMIT).collect()).await {
+    let asked = check(&head, desk).map_err(|problem| text(StatusCode::BAD_REQUEST, problem))?;
+    // Guards against bodies that fill the memory: the length is known before the first byte.
+    let length = body.size_hint().upper().and_then(|length| usize::try_from(length).ok());
+    let length = length.filter(|length| *length <= BODY_LIMIT);
+    let length = length.ok_or_else(|| text(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"))?;
+    let room = desk.bodies.try_acquire_many(length as u32);
+    let _room = room.map_err(|_| refusal(desk.settings.max_retry_after))?;
+    let body = match timeout_at(asked_by, body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return text(StatusCode::BAD_REQUEST, "the body is broken, or longer than 64 KiB"),
-        Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
+        Ok(Err(_)) => return Err(text(StatusCode::BAD_REQUEST, "the body is broken")),
+        Err(_) => return Err(text(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
     };
     let deadline = came + asked.patience.saturating_sub(MARGIN);
     let message = Message { method: head.method, uri: asked.uri, headers: pass_on(head.headers), body };
-    match desk.door.admit(asked.request, message, deadline).answer(deadline).await {
+    let Some(ticket) = desk.door.admit(asked.request, asked.id, message, deadline) else {
+        return Err(text(StatusCode::CONFLICT, "a request of this id is open"));
+    };
+    Ok(match ticket.answer(deadline).await {
         Answer::Served(served) => {
             let (head, body) = served.into_parts();
             let mut response = Response::new(Full::new(body));
@@ -174,7 +218,7 @@
         }
         Answer::Refused(wait) => refusal(wait),
         Answer::Failed => text(StatusCode::GATEWAY_TIMEOUT, "no answer of a backend"),
-    }
+    })
 }
 
 fn text(status: StatusCode, line: &'static str) -> Response<Full<Bytes>> {
@@ -213,6 +257,7 @@
 
 /// A request that makes sense.
 struct Asked {
+    id: String,
     request: springusher::Request,
     patience: Duration,
     uri: hyper::Uri,
@@ -220,10 +265,14 @@
 
 /// Guards against malformed input: what does not make sense goes no further.
 fn check(head: &Parts, desk: &Desk) -> Result<Asked, &'static str> {
-    let field = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
-    if field("x-request-id").is_none_or(str::is_empty) {
-        return Err("X-Request-Id is missing");
+    // Guards against headers that contradict each other: whoever reads on might go by the other one.
+    if OURS.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
+        return Err("a header stands there twice");
     }
+    let field = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
+    let id = field("x-request-id").filter(|id| (1..=ID_LIMIT).contains(&id.len()));
+    let id = id.filter(|id| id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)));
+    let id = id.ok_or("X-Request-Id is missing or no id")?.to_string();
     let index = |names: &[String], name| names.iter().position(|known| Some(known.as_str()) == name);
     let class = index(&desk.names.classes, field("x-class")).ok_or("X-Class names no class")?;
     if head.uri.path().split('/').nth(1) != Some(&desk.names.classes[class]) {
@@ -250,12 +299,16 @@
         expires_in: 0.0,
         repeat: field("x-retry") == Some("1"),
     };
-    Ok(Asked { request, patience, uri: target.clone().into() })
+    Ok(Asked { id, request, patience, uri: target.clone().into() })
 }
 
 fn customer(cookies: &str) -> Option<u64> {
-    let digits = cookies.split(';').find_map(|cookie| cookie.trim().strip_prefix("client="))?;
-    if digits.len() != 16 || !digits.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+    let mut clients = cookies.split(';').filter_map(|cookie| cookie.trim().strip_prefix("client="));
+    let digits = clients.next()?;
+    if clients.next().is_some()
+        || digits.len() != 16
+        || !digits.bytes().all(|digit| digit.is_ascii_hexdigit())
+    {
         return None;
     }
     u64::from_str_radix(digits, 16).ok().filter(|customer| *customer < CUSTOMERS)
--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -13,6 +13,8 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    /// Bytes.
+    pub memory: usize,
     pub known: List,
     pub names: Names,
     pub settings: Settings,
@@ -40,6 +42,7 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 #[derive(Deserialize)]
@@ -200,6 +203,7 @@
         discovery: address("BALANCER_DISCOVERY", file.discovery)?,
         seed,
         sockets: file.limits.sockets,
+        memory: file.limits.memory_mb.saturating_mul(1 << 20),
         known: file.known,
         names,
         settings,
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -10,7 +10,7 @@
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -51,6 +51,8 @@
 
 /// A request that awaits its answer or the ends of its attempts.
 struct InHand {
+    /// Its client's name for it.
+    name: String,
     message: Rc<Message>,
     /// When its client gives up.
     deadline: Instant,
@@ -63,6 +65,8 @@
 struct Inner {
     gateway: Gateway,
     requests: HashMap<RequestId, InHand>,
+    /// The names of those.
+    names: HashSet<String>,
     last: RequestId,
     alarms: BinaryHeap<Reverse<(Instant, u64)>>,
     /// Names of the backends by the number that stands for each.
@@ -88,6 +92,7 @@
         let inner = Inner {
             gateway: Gateway::new(settings, seed, clock.now())?,
             requests: HashMap::new(),
+            names: HashSet::new(),
             last: 0,
             alarms: BinaryHeap::new(),
             uids: HashMap::new(),
@@ -95,18 +100,29 @@
         Ok(Rc::new(Door { clock, zones, backends, inner: RefCell::new(inner), sooner: Notify::new() }))
     }
 
-    /// Takes a request in; `expires_in` and the id are filled in here.
-    pub fn admit(self: &Rc<Self>, mut request: Request, message: Message, deadline: Instant) -> Ticket {
+    /// Takes a request in; `expires_in` and the id are filled in here. Guards against a second effect:
+    /// `None` if one of the same name is in hand, until the last of its attempts has ended.
+    pub fn admit(
+        self: &Rc<Self>,
+        mut request: Request,
+        name: String,
+        message: Message,
+        deadline: Instant,
+    ) -> Option<Ticket> {
         let (answer, receiver) = oneshot::channel();
         let mut inner = self.inner.borrow_mut();
+        if !inner.names.insert(name.clone()) {
+            return None;
+        }
         inner.last += 1;
         request.id = inner.last;
         request.expires_in = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
-        let hand = InHand { message: Rc::new(message), deadline, answer: Some(answer), attempts: Vec::new() };
+        let message = Rc::new(message);
+        let hand = InHand { name, message, deadline, answer: Some(answer), attempts: Vec::new() };
         inner.requests.insert(request.id, hand);
         drop(inner);
         self.handle(Event::Request(request));
-        Ticket { door: self.clone(), id: request.id, answer: receiver }
+        Some(Ticket { door: self.clone(), id: request.id, answer: receiver })
     }
 
     /// Fails all that is still in hand, as the program has to end.
@@ -287,7 +303,9 @@
     fn forget_if_over(&mut self, request: RequestId) {
         let over = |hand: &InHand| hand.answer.is_none() && hand.attempts.iter().all(Option::is_none);
         if self.requests.get(&request).is_some_and(over) {
-            self.requests.remove(&request);
+            if let Some(hand) = self.requests.remove(&request) {
+                self.names.remove(&hand.name);
+            }
         }
     }
 }
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod backends;
+mod callers;
 mod clients;
 mod config;
 mod discovery;
@@ -26,6 +27,8 @@
 
 /// Descriptors that are neither a client's nor a backend's: streams, event queue, listener, discovery.
 const OWN_DESCRIPTORS: usize = 32;
+/// The part of the memory that the bodies of clients may take all together.
+const BODIES_PART: usize = 8;
 /// After SIGTERM clients still come for up to 0.4 s; the listener stays open for longer than that. What is
 /// in hand then may take as long as a client waits, 3 s at the most, before it fails, and such failures so
 /// long to be written: with what came last, the end is due before SIGKILL, 0.7 s after the longest wait.
@@ -87,6 +90,7 @@
         names: config.names,
         settings: config.settings,
         phase: seen,
+        bodies: Semaphore::new((config.memory / BODIES_PART).min(Semaphore::MAX_PERMITS)),
     });
     let mut serving = spawn_local(clients::serve(listener, desk, descriptors));
 
