Take a surge to come in through the other gateways too

Cause and lines: within_quota() and set_chance() in control.rs. A spike comes in through all gateways of a customer at once; each saw its own part alone for about 1.5 s, until the meter told, and let in what the store held for all. The reserve that covered for it kept near half of every burst from customers that had a right to it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -11,12 +11,13 @@
 // ---- Constants. All are dimensionless; times and rates come from the settings. ----
 
 /// Lowest chance of admission: at nought no answer would bring a reading, and the chance would stay there.
-const CHANCE_FLOOR: f64 = 0.05;
+const CHANCE_FLOOR: f64 = 0.01;
 /// Age of the sends that a reading speaks of, in meter periods: a period is summed up, then told late.
 const METER_LAG: f64 = 2.0;
-/// What the chance leaves in the store, in standard deviations of what may be sent unseen until the next
-/// reading, times what a try beyond the quota costs: at an empty store every second coin would land beyond.
-const RESERVE: f64 = 2.0;
+/// Units that each other gateway is taken to send unseen, in a surge, for one beyond an even share here.
+const SURGE: f64 = 1.5;
+/// Part of a meter period, on average, after which one whom the coin refused ought to try again.
+const COME_BACK: f64 = 0.3;
 /// Units over which a rate is averaged: fewer counts say little about a rate.
 const RATE_UNITS: f64 = 4.0;
 /// Units that what is known of a plan counts for beside the readings of one of its customers.
@@ -46,7 +47,7 @@
 const PROBE: f64 = 0.1;
 /// Attempts a server, of all gateways, that make no queue whatever the answers take: up to an own part of
 /// that the room is not asked, for idle servers tell nothing and a door once shut would stay shut.
-const IDLE: f64 = 2.0;
+const IDLE: f64 = 3.0;
 /// Shrinks the limit on work in flight at each late answer; a timely one grows it by `STEP` attempts, doubled
 /// at a limit of `CREW`: a fair share for each gateway while it is small, one late in five at any size.
 const SHRINK: f64 = 0.95;
@@ -289,7 +290,8 @@
         // answer time alone is no ground: with nothing sent none would shorten it again.
         let late = if waited > 0.0 && waited + answer > class.aim { class.late_share.min(1.0) } else { 1.0 };
         if share <= 0.0 || coin >= quota * late {
-            self.refuse(request.id, 0.0, actions);
+            let wait = COME_BACK * self.settings.meter_period * (0.5 + self.rng.rand_float());
+            self.refuse(request.id, wait, actions);
         } else if coin >= room * late {
             self.no_room += 1;
             self.refuse(request.id, self.settings.max_retry_after, actions);
@@ -325,17 +327,15 @@
             ceiling_at: born,
             ..Customer::default()
         });
-        customer.seen = now;
-        customer.plan = request.plan;
-        customer.spread = f64::from(request.spread.max(1));
+        let spread = f64::from(request.spread.max(1));
+        (customer.seen, customer.plan, customer.spread) = (now, request.plan, spread);
         if plan.rate <= 0.0 {
             return 1.0;
         }
         let seconds = (now - customer.heard_at) / 1000.0;
         let fade = (-seconds * plan.rate / (OWN_UNITS * customer.spread)).exp();
         customer.offered_here *= fade;
-        customer.heard = customer.heard * fade + seconds;
-        customer.heard_at = now;
+        (customer.heard, customer.heard_at) = (customer.heard * fade + seconds, now);
         let usual = self.plan_use[request.plan];
         customer.refill(&plan, usual, now, period);
         if now >= customer.chance_set + period {
@@ -343,6 +343,10 @@
         }
         // Counted after the chance is set: that a request came says nothing of how many others did.
         customer.offered_here += request.units;
+        // Guards against sends beyond the quota between two settings of the chance.
+        if customer.store < customer.unseen(&plan, now, (METER_LAG + 1.0) * period) {
+            return CHANCE_FLOOR;
+        }
         customer.chance
     }
 
@@ -373,7 +377,7 @@
         let chance = held.map_or(1.0, |held| held.1);
         let seconds = period / 1000.0;
         let elsewhere = used * plan.rate * seconds - own;
-        let (expected, _, known, _) = customer.elsewhere(&plan, *usual, fade);
+        let (expected, _, known) = customer.elsewhere(&plan, *usual, fade);
         customer.store = (customer.store - elsewhere + expected * seconds).clamp(0.0, plan.burst);
         customer.watched = customer.watched * fade + seconds;
         customer.sent_elsewhere = (customer.sent_elsewhere * fade + elsewhere).max(0.0);
@@ -431,9 +435,9 @@
         self.customers.retain(|_, customer| {
             let plan = &self.settings.plans[customer.plan];
             let fill = |burst: f64, rate: f64| if rate > 0.0 { burst / rate * 1000.0 } else { 0.0 };
-            let fills =
-                fill(plan.burst, plan.rate).max(fill(plan.ceiling_burst, plan.ceiling_rate)).max(1000.0);
-            customer.open > 0 || !customer.held.is_empty() || now < customer.seen + IDLE_FILLS * fills
+            let full = fill(plan.burst, plan.rate).max(fill(plan.ceiling_burst, plan.ceiling_rate));
+            let idle = now >= customer.seen + IDLE_FILLS * full.max(1000.0);
+            !idle || customer.open > 0 || !customer.held.is_empty()
         });
     }
 
@@ -739,10 +743,8 @@
         let open = &self.requests[&end.request];
         let out = open.attempts.iter().any(|attempt| attempt.out);
         if open.done {
-            if self.settings.may_cancel && end.outcome == Outcome::Ok {
-                let losers = open.attempts.iter().enumerate().filter(|(_, attempt)| attempt.out);
-                actions
-                    .extend(losers.map(|(n, _)| Action::Cancel { request: end.request, attempt: n as u8 }));
+            if end.outcome == Outcome::Ok {
+                self.call_off(end.request, actions);
             }
         } else if !out {
             let again = self.may_try_again(open);
@@ -769,19 +771,21 @@
             self.refuse(id, 0.0, actions);
         } else {
             actions.push(Action::Fail(id));
-            let out = open.attempts.iter().enumerate().filter(|(_, attempt)| attempt.out);
-            if self.settings.may_cancel {
-                actions.extend(out.map(|(n, _)| Action::Cancel { request: id, attempt: n as u8 }));
-            }
+            self.call_off(id, actions);
             self.close(id);
         }
     }
 
+    /// Cancels the attempts of a request that are still out, where that is allowed.
+    fn call_off(&self, id: RequestId, actions: &mut Vec<Action>) {
+        let out = self.requests[&id].attempts.iter().enumerate().filter(|(_, attempt)| attempt.out);
+        let cancels = out.map(|(n, _)| Action::Cancel { request: id, attempt: n as u8 });
+        actions.extend(cancels.filter(|_| self.settings.may_cancel));
+    }
+
     fn refuse(&mut self, id: RequestId, wait: Millis, actions: &mut Vec<Action>) {
-        actions.push(Action::Refuse {
-            request: id,
-            retry_after: wait.clamp(0.0, self.settings.max_retry_after),
-        });
+        let retry_after = wait.clamp(0.0, self.settings.max_retry_after);
+        actions.push(Action::Refuse { request: id, retry_after });
         self.close(id);
     }
 
@@ -822,15 +826,9 @@
             }
         }
         for entry in entries {
-            let fresh = Server {
-                entry,
-                out: Vec::new(),
-                slowness: 1.0,
-                judged: self.now,
-                answered: self.now,
-                strikes: 0,
-                ejected_until: 0.0,
-            };
+            let (out, now, strikes) = (Vec::new(), self.now, 0);
+            let fresh =
+                Server { entry, out, slowness: 1.0, judged: now, answered: now, strikes, ejected_until: 0.0 };
             let server = self.servers.entry(entry.id).or_insert(fresh);
             if entry.launched.is_some() && entry.launched != server.entry.launched {
                 server.strikes = 0;
@@ -849,7 +847,7 @@
 impl Customer {
     /// Rates at which the other gateways send and are offered, and the part of that which rests on readings
     /// of this customer. What they do not tell is filled up with what its plan's customers usually do.
-    fn elsewhere(&self, plan: &Plan, usual: (f64, f64), fade: f64) -> (f64, f64, f64, f64) {
+    fn elsewhere(&self, plan: &Plan, usual: (f64, f64), fade: f64) -> (f64, f64, f64) {
         let prior = PRIOR_UNITS / plan.rate;
         // One of n gateways sees one part in n of the time that all see together.
         let own = self.heard / (self.spread - 1.0).max(f64::MIN_POSITIVE);
@@ -857,7 +855,14 @@
         let sent = (PRIOR_UNITS * usual.0 + self.sent_elsewhere * fade) / seconds;
         let offers = PRIOR_UNITS * usual.1 + self.offered_elsewhere * fade + self.offered_here;
         let offered = offers / (seconds + own);
-        (sent, offered, 1.0 - prior / seconds, offers.sqrt() / (seconds + own))
+        (sent, offered, 1.0 - prior / seconds)
+    }
+
+    /// Units that other gateways have likely sent in a surge of which no reading tells yet.
+    fn unseen(&self, plan: &Plan, now: Millis, horizon: Millis) -> f64 {
+        let recent = self.sends.iter().filter(|(at, _)| *at > now - horizon);
+        let sent: f64 = recent.map(|(_, units)| units).sum();
+        SURGE * (self.spread - 1.0) * (sent - plan.rate * horizon / 1000.0 / self.spread).max(0.0)
     }
 
     /// How much of the readings still counts: they fade over some units of the quota, or some gaps between
@@ -883,14 +888,11 @@
     }
 
     fn set_chance(&mut self, plan: &Plan, usual: (f64, f64), now: Millis, period: Millis) {
-        let (_, elsewhere, _, doubt) = self.elsewhere(plan, usual, self.fade(plan, now));
-        let risk = (plan.over_cost - plan.over_worth).max(0.0);
-        let offered = self.offered_here / self.heard.max(RATE_UNITS / plan.rate) + elsewhere + risk * doubt;
-        let horizon = (METER_LAG + 1.0) * period / 1000.0;
-        let reserve = (RESERVE * risk * (plan.rate * horizon).sqrt()).min(plan.burst / 2.0);
-        let spare = self.store - reserve;
-        let span = if spare > 0.0 { period / 1000.0 } else { horizon };
-        let allowed = plan.rate + spare / span.max(self.reading_gap);
+        let (_, elsewhere, _) = self.elsewhere(plan, usual, self.fade(plan, now));
+        let offered = self.offered_here / self.heard.max(RATE_UNITS / plan.rate) + elsewhere;
+        // The store is let out over some readings, so that the coin, by worth, refuses before it is empty.
+        let span = 2.0 * (METER_LAG + 1.0) * period / 1000.0;
+        let allowed = plan.rate + self.store / span.max(self.reading_gap);
         self.chance = if offered > allowed { (allowed / offered).max(CHANCE_FLOOR) } else { 1.0 };
         self.chance_set = now;
         self.chances.push_back((now, self.chance));
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -150,3 +150,53 @@
     let sent = ask_for(&mut host, 10.0, 20.0, 0, 4.0);
     assert!(sent < 100.0, "{sent} of 200 sent on though others use four times the quota");
 }
+
+#[test]
+fn a_surge_is_taken_to_come_in_through_the_other_gateways_too() {
+    // Two gateways share a quota of 5 units a second with a burst of 10; no reading has come yet.
+    let sent = |spread: u32| {
+        let mut host = Host::new(settings(), &[server(1)]);
+        let mut sent = 0;
+        for id in 1..=40 {
+            host.now += 10.0;
+            let request = Request {
+                id,
+                customer: 1,
+                plan: 0,
+                class: 0,
+                units: 1.0,
+                spread,
+                expires_in: 4000.0,
+                repeat: false,
+            };
+            if !sends(&host.event(Event::Request(request))).is_empty() {
+                sent += 1;
+                host.end(id, 0, Outcome::Ok, None);
+            }
+        }
+        sent
+    };
+    let (alone, shared) = (sent(1), sent(4));
+    assert!(shared < alone, "{shared} sent on of a surge through four gateways, {alone} through one");
+    assert!(shared > 0);
+}
+
+#[test]
+fn whom_the_coin_refuses_is_told_when_to_come_back() {
+    let mut host = Host::new(settings(), &[server(1)]);
+    let mut waits = Vec::new();
+    for id in 1..=400 {
+        host.now += 5.0;
+        for action in host.ask(1, 0, 0).1 {
+            match action {
+                Action::Refuse { retry_after, .. } => waits.push(retry_after),
+                Action::Send { request, .. } => drop(host.end(request, 0, Outcome::Ok, Some(4.0))),
+                _ => {}
+            }
+        }
+        assert!(id < 400 || !waits.is_empty(), "nothing was refused");
+    }
+    assert!(waits.iter().all(|wait| (50.0..=500.0).contains(wait)), "{waits:?}");
+    let spread = waits.iter().copied().fold(0.0, f64::max) - waits.iter().copied().fold(500.0, f64::min);
+    assert!(spread > 50.0, "all are told the same");
+}
