Take no absurd figure of the meter, and bound an answer's head and the names of the gone

Seen by reading: judge() in backends.rs took any finite Usage-Percent, so that one answer with 1e300 shuts a customer out of this front door; hyper's default lets a backend's head grow to 400 KiB; Door::uids forgot names on whole lists only, and grows on chained changes; a pod_group over 65,535 cost the whole list. Checked: a test with spoilt figures failed before (the customer got no answer but refusals) and passes now. Ruled out by tests that passed before too, and stay: noise, heads without end, two lengths, a negative one, 3 GB announced and an unasked-for 101 all count as attempts that may have run, with no second attempt and a closed connection; what comes behind a good answer, a copy or noise, reaches nobody; 1xx ahead is skipped. Tried and dropped: taking no list of an older revision within a watch, as discovery's word is what counts.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -21,6 +21,9 @@
 /// they say, and a request that crosses that is lost.
 const IDLE_PART: f64 = 0.5;
 const SWEEP: Duration = Duration::from_secs(1);
+/// Use beyond this is none that a customer can have: a burst is some seconds of its rate, and no front door
+/// sends on for long what is beyond.
+const MOST_PERCENT: f64 = 10_000.0;
 
 /// A client's request as it goes on to a backend.
 pub struct Message {
@@ -238,8 +241,7 @@
 /// What an answer says of its attempt.
 fn judge(answer: Response<Bytes>) -> End {
     let header = |name| answer.headers().get(name).and_then(|value| value.to_str().ok());
-    let used = header("usage-percent").and_then(|text| text.trim().parse::<f64>().ok());
-    let used = used.filter(|percent| percent.is_finite() && *percent >= 0.0).map(|percent| percent / 100.0);
+    let used = used(answer.headers());
     let turned_away = header("x-not-run").is_some_and(|text| text.trim() == "1");
     match answer.status() {
         StatusCode::OK => End { outcome: Outcome::Ok, used, answer: Some(answer) },
@@ -250,3 +252,11 @@
         _ => End { outcome: Outcome::Error, used, answer: None },
     }
 }
+
+/// The meter's figure. Guards the quota against one that is spoilt: what cannot be is no figure.
+fn used(headers: &HeaderMap) -> Option<f64> {
+    let mut figures = headers.get_all("usage-percent").iter();
+    let (figure, further) = (figures.next()?, figures.next());
+    let percent = figure.to_str().ok()?.trim().parse::<f64>().ok()?;
+    (further.is_none() && (0.0..=MOST_PERCENT).contains(&percent)).then_some(percent / 100.0)
+}
--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/discovery.rs
@@ -40,8 +40,9 @@
     pub endpoint: String,
     #[serde(default)]
     pub az: String,
+    /// Which, no more: one that is out of range must not cost the whole list.
     #[serde(default)]
-    pub pod_group: u16,
+    pub pod_group: u64,
     pub state: State,
     /// 0, as where it is missing, says nothing of the size.
     #[serde(default)]
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -150,10 +150,12 @@
             entries.push(entry);
         }
         if kind != ListKind::Delta {
-            let listed = |id| entries.iter().any(|entry| entry.id == id);
-            self.backends.retain(listed);
-            self.inner.borrow_mut().uids.retain(|id, _| listed(*id));
+            self.backends.retain(|id| entries.iter().any(|entry| entry.id == id));
         }
+        // Guards the memory: names of the gone would pile up, as each new backend has a new one.
+        let gone = |id| entries.iter().any(|entry| entry.id == id && entry.lifecycle == Lifecycle::Gone);
+        let listed = |id| kind == ListKind::Delta || entries.iter().any(|entry| entry.id == id);
+        self.inner.borrow_mut().uids.retain(|id, _| listed(*id) && !gone(*id));
         self.handle(Event::Servers { kind, entries });
     }
 
@@ -162,7 +164,7 @@
         ServerEntry {
             id,
             zone: zone.map_or(u16::MAX, |zone| zone as u16),
-            cell: target.pod_group,
+            cell: target.pod_group as u16,
             share: target.capacity_hint,
             lifecycle: match target.state {
                 State::Ready if address.is_some() => Lifecycle::Ready,
--- a/src/bin/brassport/link.rs
+++ b/src/bin/brassport/link.rs
@@ -2,7 +2,7 @@
 //! dropping it has closed the socket.
 
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Bytes;
+use hyper::body::{Body, Bytes};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -13,6 +13,9 @@
 use std::task::Poll;
 use tokio::net::TcpStream;
 
+/// Most bytes of an answer's head.
+const HEAD_LIMIT: usize = 16 * 1024;
+
 /// Why an exchange brought no whole answer.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -32,7 +35,10 @@
     pub async fn open(address: SocketAddr) -> io::Result<Link> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        // Guards the memory against heads that do not end.
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(HEAD_LIMIT);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         Ok(Link { sender, connection: Some(connection) })
     }
 
@@ -50,6 +56,9 @@
             None => Failure::Broken,
         })?;
         let (head, body) = answer.into_parts();
+        if body.size_hint().lower() > most as u64 {
+            return Err(Failure::Broken);
+        }
         let body = drive(connection, Limited::new(body, most).collect()).await;
         // Guards against serving a body that was cut short: an error of the body is a broken connection.
         let body = body.map_err(|_| Failure::Broken)?.to_bytes();
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -490,6 +490,81 @@
     }
 }
 
+#[test]
+fn a_spoilt_answer_may_have_run_and_its_connection_is_of_no_further_use() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let endless = format!("HTTP/1.1 200 OK\r\nX-Long: {}", "x".repeat(64 * 1024));
+    let mut port = 0;
+    for spoilt in [
+        "noise\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxx",
+        "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+        &endless,
+    ] {
+        let mut client = front.client();
+        client.send(&post("a job"));
+        let mut exchange = backend.next();
+        let other = exchange.stream.peer_addr().expect("a peer").port();
+        assert_ne!(port, other, "a connection is used again that brought what came before {spoilt:.40?}");
+        port = other;
+        exchange.stream.write_all(spoilt.as_bytes()).expect("the answer goes out");
+        assert_eq!(client.read().status(), 504, "{spoilt:.40?}");
+        exchange.wait_for_close();
+    }
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_nobodys() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    let mut client = front.client();
+    for behind in ["", answer, "noise"] {
+        client.send(&post("a job"));
+        let mut exchange = backend.next();
+        let early = "HTTP/1.1 102 Processing\r\n\r\n".repeat(3);
+        exchange.stream.write_all(format!("{early}{answer}").as_bytes()).expect("the answer goes out");
+        assert_eq!(client.read().body, b"ok");
+        if behind.is_empty() {
+            exchange.stream.shutdown(Shutdown::Write).expect("it ends");
+        } else {
+            exchange.stream.write_all(behind.as_bytes()).expect("more goes out");
+        }
+        exchange.wait_for_close();
+    }
+    client.send(&post("a job"));
+    backend.next().ok("its own");
+    assert_eq!(client.read().body, b"its own");
+}
+
+#[test]
+fn a_figure_of_the_meter_that_cannot_be_is_none() {
+    let backend = Peer::start();
+    // As many backends as front doors leave each of them room enough from the start.
+    let targets = ["s-00000001", "s-00000002", "s-00000003", "s-00000004"];
+    let mut config = config(closed_port(), list(&targets.map(|uid| target(uid, backend.address, "ready"))));
+    config["settings"]["balancers"] = json!(4);
+    let front = Front::start(&config);
+    let get = || get("").replace("spread=1", "spread=4");
+    let mut client = front.client();
+    for figure in ["1e300", "-7", "inf", "NaN", "forty", "40\r\nUsage-Percent: 1e300"] {
+        client.send(&get());
+        backend.next().answer("200 OK", &format!("Usage-Percent: {figure}\r\n"), "");
+        assert_eq!(client.read().status(), 200, "before {figure:?}");
+    }
+    // The coin is set once in a period of the meter.
+    thread::sleep(Duration::from_millis(600));
+    for _ in 0..20 {
+        client.send(&get());
+        backend.next().ok("");
+        assert_eq!(client.read().status(), 200);
+    }
+}
+
 #[test]
 fn a_draining_backend_gets_nothing_new() {
     let backends = [Peer::start(), Peer::start()];
