--- a/src/bin/brassport/callers.rs
+++ b/src/bin/brassport/callers.rs
@@ -15,10 +15,11 @@
 /// How long all of a request may take to come, from the connection's start or its own first byte: a client
 /// that has not asked by then is owed an end within 3 s.
 const ASKING: Duration = Duration::from_millis(2500);
-/// How long a connection may stand idle behind an answer, and how long at least: a client may be about to use
-/// it, or may not have got all of the answer yet.
+/// How long a connection may stand idle behind an answer, what is long when room is short, and how long it may
+/// in any case: its client may not have got all of the answer yet.
 const IDLE: Duration = Duration::from_secs(10);
-const LEAST_IDLE: Duration = Duration::from_secs(2);
+const LONG_IDLE: Duration = Duration::from_secs(2);
+const LEAST_IDLE: Duration = Duration::from_millis(300);
 /// A client that has sent nothing for that long is not about to.
 const SHY: Duration = Duration::from_millis(100);
 /// How long what a client is still sending is read, so that it finds the answer it was given before.
@@ -45,6 +46,8 @@
 struct State {
     stage: Cell<Stage>,
     since: Cell<Instant>,
+    /// Requests so far.
+    asked: Cell<u32>,
     dismiss: Notify,
 }
 
@@ -77,6 +80,7 @@
         let state = Rc::new(State {
             stage: Cell::new(Stage::New),
             since: Cell::new(Instant::now()),
+            asked: Cell::new(0),
             dismiss: Notify::new(),
         });
         self.all.borrow_mut().insert(number, state.clone());
@@ -88,19 +92,24 @@
         self.all.borrow().values().filter(|state| state.stage.get() == Stage::Leaving).count()
     }
 
-    /// Closes the connection whose client has the least use for it: one that had time to ask and did not, else
-    /// one that is idle behind its answer, the longest so first, else one that is still new. False if there is
-    /// none.
+    /// Closes the connection whose client has the least use for it: one that has had its last answer, else
+    /// one that had time to ask and did not, else
+    /// one idle for long, else one idle that asked only once, else one still new, else any idle one. False if
+    /// there is none.
     pub fn shed(&self) -> bool {
         let all = self.all.borrow();
-        let longest = |stage, least| {
-            let of_stage = all.values().filter(move |state| state.stage.get() == stage);
-            let longest = of_stage.min_by_key(|state| state.since.get());
+        let longest = |stage, most_asked, least| {
+            let fits = |state: &&Rc<State>| state.stage.get() == stage && state.asked.get() <= most_asked;
+            let longest = all.values().filter(fits).min_by_key(|state| state.since.get());
             longest.filter(|state| state.since.get().elapsed() >= least)
         };
-        let chosen = longest(Stage::New, SHY)
-            .or_else(|| longest(Stage::Idle, LEAST_IDLE))
-            .or_else(|| longest(Stage::New, Duration::ZERO));
+        // Guards against crowds that ask once and stay: they hold what newcomers need, and are back at once.
+        let chosen = longest(Stage::Last, u32::MAX, SHY)
+            .or_else(|| longest(Stage::New, 0, SHY))
+            .or_else(|| longest(Stage::Idle, u32::MAX, LONG_IDLE))
+            .or_else(|| longest(Stage::Idle, 1, LEAST_IDLE))
+            .or_else(|| longest(Stage::New, 0, Duration::ZERO))
+            .or_else(|| longest(Stage::Idle, u32::MAX, LEAST_IDLE));
         if let Some(state) = chosen {
             state.leave();
         }
@@ -130,6 +139,9 @@
         if !begun {
             self.state.since.set(Instant::now());
         }
+        if stage == Stage::Open {
+            self.state.asked.set(self.state.asked.get().saturating_add(1));
+        }
         self.state.stage.set(stage);
     }
     pub fn at(&self) -> Stage {
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -170,7 +170,12 @@
     };
     // Its client has gone, or what it sent is no HTTP and was answered so; else it was closed in order.
     if ended.is_err() || caller.at() == Stage::Last {
-        serving.into_parts().io.into_inner().linger().await;
+        caller.stage(Stage::Last);
+        tokio::select! {
+            () = serving.into_parts().io.into_inner().linger() => {}
+            // Others need its descriptor more.
+            () = caller.dismissed() => {}
+        }
     }
 }
 
