--- a/src/control.rs
+++ b/src/control.rs
@@ -880,7 +880,7 @@
         self.reading_at.map_or(0.0, |at| (-(now - at) / 1000.0 / memory).exp())
     }
 
-    /// Content of the store at a later time: the quota flows in, own sends and what others likely send flow out.
+    /// Content of the store at a later time: the quota flows in, own sends and others' likely ones flow out.
     fn content(&self, plan: &Plan, usual: (f64, f64), now: Millis, at: Millis) -> f64 {
         let flow = plan.rate - self.elsewhere(plan, usual, self.fade(plan, now)).0;
         (self.store + flow * (at - self.told) / 1000.0 - self.sent(self.told, at)).clamp(0.0, plan.burst)
