Let a customer's store start full, and weigh an unseen surge less

Cause and lines: within_quota (store: burst / 2; store < unseen), SURGE = 1.5 in control.rs: one unit more than an even share, sent here, shut out a customer with spread 4 until its store held 4.5 more. The socket test: a burst of 15 of 40 through one of four doors, refused before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -16,7 +16,7 @@
 /// Meter periods over which a store that is left over is let out.
 const RELEASE: f64 = 6.0;
 /// Units that each other gateway is taken to send unseen, in a surge, for one beyond an even share here.
-const SURGE: f64 = 1.5;
+const SURGE: f64 = 0.5;
 /// Part of a meter period, on average, after which one whom the coin refused ought to try again.
 const COME_BACK: f64 = 0.3;
 /// Units over which a rate is averaged: fewer counts say little about a rate.
@@ -322,7 +322,8 @@
         let (now, born, period) = (self.now, self.born, self.settings.meter_period);
         let plan = self.settings.plans[request.plan];
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
-            store: plan.burst / 2.0,
+            // Who was not here before has most likely used little. Hurts behind a restart of this gateway alone.
+            store: plan.burst,
             told: now,
             read: f64::NEG_INFINITY,
             chance: 1.0,
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -626,6 +626,26 @@
     }
 }
 
+#[test]
+fn a_customer_that_gathers_on_one_front_door_has_its_burst_there() {
+    let backend = Peer::start();
+    let targets: Vec<Value> =
+        (1..=4).map(|n| target(&format!("s-0000000{n}"), backend.address, "ready")).collect();
+    let mut config = config(closed_port(), list(&targets));
+    config["settings"]["balancers"] = json!(4);
+    // The coin is set once in a period: not while this runs, on however slow a machine.
+    config["settings"]["familyInfo"]["usePeriod"] = json!(60_000.0);
+    config["settings"]["plans"][0]["unitsPerS"] = json!(1.0);
+    config["settings"]["plans"][0]["storeSize"] = json!(40.0);
+    let front = Front::start(&config);
+    let mut client = front.client();
+    for n in 1..=15 {
+        client.send(&get("").replace("spread=1", "spread=4"));
+        backend.next().ok("");
+        assert_eq!(client.read().status(), 200, "request {n} of a burst of 40");
+    }
+}
+
 #[test]
 fn a_draining_backend_gets_nothing_new() {
     let backends = [Peer::start(), Peer::start()];
