Weigh an unseen surge by the meter's delay, and start a store at three quarters

Cause and lines: unseen() in control.rs weighed alike whether the meter tells after 0.7 periods or after 2.8.

--- a/src/control.rs
+++ b/src/control.rs
@@ -15,8 +15,12 @@
 const CHANCE_FLOOR: f64 = 0.01;
 /// Meter periods over which a store that is left over is let out.
 const RELEASE: f64 = 6.0;
-/// Units that each other gateway is taken to send unseen, in a surge, for one beyond an even share here.
-const SURGE: f64 = 0.5;
+/// Units that each other gateway is taken to send unseen, in a surge, for one beyond an even share here and
+/// for each period that the meter is late.
+const SURGE: f64 = 0.8;
+/// Part of its burst that a customer is taken to have left when it first comes here: most have used little.
+/// Hurts for a heavy one behind a restart of this gateway.
+const START_STORE: f64 = 0.75;
 /// Part of a meter period, on average, after which one whom the coin refused ought to try again.
 const COME_BACK: f64 = 0.3;
 /// Units over which a rate is averaged: fewer counts say little about a rate.
@@ -322,8 +326,7 @@
         let (now, born, period) = (self.now, self.born, self.settings.meter_period);
         let plan = self.settings.plans[request.plan];
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
-            // Who was not here before has most likely used little. Hurts behind a restart of this gateway alone.
-            store: plan.burst,
+            store: START_STORE * plan.burst,
             told: now,
             read: f64::NEG_INFINITY,
             chance: 1.0,
@@ -350,7 +353,7 @@
         // Counted after the chance is set: that a request came says nothing of how many others did.
         customer.offered_here += request.units;
         // Guards against sends beyond the quota between two settings of the chance.
-        if customer.content(&plan, usual, now, now) < customer.unseen(&plan, now) {
+        if customer.content(&plan, usual, now, now) < customer.unseen(&plan, now, self.meter.delay()) {
             return CHANCE_FLOOR;
         }
         customer.chance
@@ -868,10 +871,11 @@
         self.sends.iter().filter(|(at, _)| *at > from && *at <= to).map(|(_, units)| units).sum()
     }
 
-    /// Units that other gateways have likely sent in a surge of which no reading tells yet.
-    fn unseen(&self, plan: &Plan, now: Millis) -> f64 {
+    /// Units that other gateways have likely sent in a surge of which no reading tells yet: more, the more
+    /// periods it takes until one tells.
+    fn unseen(&self, plan: &Plan, now: Millis, delay: f64) -> f64 {
         let even = plan.rate * (now - self.told) / 1000.0 / self.spread;
-        SURGE * (self.spread - 1.0) * (self.sent(self.told, now) - even).max(0.0)
+        SURGE * delay * (self.spread - 1.0) * (self.sent(self.told, now) - even).max(0.0)
     }
 
     /// How much of the readings still counts: they fade over some units of the quota, or some gaps between
--- a/src/meter.rs
+++ b/src/meter.rs
@@ -49,6 +49,11 @@
         ((now - delay - end) / self.period).floor() * self.period + end
     }
 
+    /// Delay from the end of a period until it is told, in periods.
+    pub fn delay(&self) -> f64 {
+        (self.best % DELAYS) as f64 / PARTS as f64
+    }
+
     /// How far back sends matter: no reading tells of earlier ones.
     pub fn reach(&self) -> Millis {
         (MOST_PERIODS + 2) as f64 * self.period
