--- /dev/null
+++ b/crates/brassport-sim/src/door.rs
@@ -0,0 +1,125 @@
+//! One front door under simulation: its process, as far as a process is a set of tasks.
+
+use crate::kernel::{Host, Kernel};
+use crate::seams::{SimClock, SimNetwork};
+use brassport::{config, front_door, Control};
+use std::cell::{Cell, RefCell};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll, Wake, Waker};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+/// More turns than this within one instant are a spin.
+const MOST_TURNS: u32 = 2_000;
+
+#[derive(Default)]
+struct Flag(AtomicBool);
+
+impl Wake for Flag {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// What became of a turn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Turn {
+    /// It goes on.
+    Runs,
+    /// The program ended, with its error if it had one.
+    Ended(Result<(), String>),
+    /// A task panicked.
+    Panicked(String),
+    /// It would go on for ever without time passing.
+    Spins,
+}
+
+/// A running front door.
+pub struct Process {
+    tasks: LocalSet,
+    awake: Arc<Flag>,
+    waker: Waker,
+    ended: Rc<RefCell<Option<Result<(), String>>>>,
+    controls: mpsc::UnboundedSender<Control>,
+    /// Polls so far.
+    pub turns: u64,
+}
+
+thread_local! {
+    /// What the last panic on this thread said: a task's panic ends the task and is told to nobody else.
+    static PANIC: Cell<Option<String>> = const { Cell::new(None) };
+    static QUIET: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Makes panics of simulated programs failures of their run rather than noise on standard error.
+pub fn catch_panics() {
+    static ONCE: std::sync::Once = std::sync::Once::new();
+    QUIET.set(true);
+    ONCE.call_once(|| {
+        let usual = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |panic| {
+            if QUIET.get() {
+                PANIC.set(Some(panic.to_string()));
+            } else {
+                usual(panic);
+            }
+        }));
+    });
+}
+
+impl Process {
+    /// Starts the program with this configuration.
+    ///
+    /// # Errors
+    /// What is wrong with the configuration.
+    pub fn start(kernel: &Kernel, host: Host, wall: Rc<Cell<i64>>, text: &str) -> Result<Process, String> {
+        let config = config::parse(text, config::First::File, |_| None)?;
+        let (controls, control) = mpsc::unbounded_channel();
+        let tasks = LocalSet::new();
+        let ended = Rc::new(RefCell::new(None));
+        let (clock, network) =
+            (SimClock::new(kernel.clone(), host, wall), SimNetwork::new(kernel.clone(), host));
+        let end = ended.clone();
+        tasks.spawn_local(async move {
+            let result = front_door(config, clock, network, control).await;
+            *end.borrow_mut() = Some(result);
+        });
+        let awake = Arc::new(Flag::default());
+        awake.0.store(true, Ordering::Relaxed);
+        Ok(Process { tasks, waker: awake.clone().into(), awake, ended, controls, turns: 0 })
+    }
+
+    /// Tells the program something from outside.
+    pub fn tell(&self, control: Control) {
+        // One that has ended is told nothing.
+        let _ = self.controls.send(control);
+    }
+
+    /// Lets the program do all that it can at this instant.
+    pub fn turn(&mut self) -> Turn {
+        let mut turns = 0;
+        while self.awake.0.swap(false, Ordering::Relaxed) {
+            turns += 1;
+            self.turns += 1;
+            if turns > MOST_TURNS {
+                return Turn::Spins;
+            }
+            let mut context = Context::from_waker(&self.waker);
+            let polled = catch_unwind(AssertUnwindSafe(|| {
+                std::future::Future::poll(Pin::new(&mut self.tasks), &mut context)
+            }));
+            let said = PANIC.take();
+            if polled.is_err() || said.is_some() {
+                return Turn::Panicked(said.unwrap_or_else(|| "a panic without a word".into()));
+            }
+            if matches!(polled, Ok(Poll::Ready(()))) || self.ended.borrow().is_some() {
+                return Turn::Ended(self.ended.borrow_mut().take().unwrap_or(Ok(())));
+            }
+        }
+        Turn::Runs
+    }
+}
--- /dev/null
+++ b/crates/brassport-sim/src/scenario.rs
@@ -0,0 +1,504 @@
+//! A run's script: the site, the requests and the faults, all drawn from a seed. A script is plain data: it can be
+//! printed, edited, shrunk and played again.
+
+use crate::kernel::Ties;
+use crate::random::Random;
+use serde::{Deserialize, Serialize};
+
+/// How long requests come, and how long the site is watched after the last of them, in milliseconds.
+pub const BUSY_MS: u64 = 7_000;
+pub const QUIET_MS: u64 = 22_000;
+
+/// Everything that a run is made of beside its seed's own draws.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Draws what the script leaves open: latencies, service times, ties.
+    pub seed: u64,
+    /// The order of events due at the same instant.
+    pub ties: TieOrder,
+    /// Number of front doors.
+    pub doors: usize,
+    /// Number of nodes at the start.
+    pub nodes: usize,
+    /// Descriptors that each front door may hold.
+    pub sockets: usize,
+    /// Probability that a connection has a window of a few bytes.
+    pub small_window: f64,
+    /// Requests, in the order in which they are sent.
+    pub requests: Vec<RequestPlan>,
+    /// Faults.
+    pub faults: Vec<Fault>,
+}
+
+/// [`Ties`], as it stands in a script.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TieOrder {
+    /// As scheduled.
+    First,
+    /// The other way round.
+    Last,
+    /// Drawn.
+    Drawn,
+}
+
+impl From<TieOrder> for Ties {
+    fn from(order: TieOrder) -> Ties {
+        match order {
+            TieOrder::First => Ties::First,
+            TieOrder::Last => Ties::Last,
+            TieOrder::Drawn => Ties::Drawn,
+        }
+    }
+}
+
+/// One request of a client's.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RequestPlan {
+    /// When it is sent, in microseconds.
+    pub at_us: u64,
+    /// By which client.
+    pub client: usize,
+    /// For which customer; its plan is its number modulo the number of plans.
+    pub customer: u64,
+    /// Whether it must never run twice.
+    pub unsafe_to_repeat: bool,
+    /// Length of its body, where it has one.
+    pub body: usize,
+    /// How long the client waits, in milliseconds.
+    pub patience_ms: u64,
+    /// When the client leaves before that, in microseconds after sending.
+    pub leaves_us: Option<u64>,
+    /// Whether leaving is a reset.
+    pub leaves_rudely: bool,
+    /// Further tries of the client's own.
+    pub retries: u32,
+}
+
+/// What goes wrong, and when (`at`, milliseconds).
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "fault", deny_unknown_fields)]
+pub enum Fault {
+    /// A node's processes stand still.
+    FreezeNode { at: u64, node: usize, for_ms: u64 },
+    /// A front door's process stands still.
+    FreezeDoor { at: u64, door: usize, for_ms: u64 },
+    /// A front door is killed, and starts again knowing only the list it had at its first start.
+    KillDoor { at: u64, door: usize, back_ms: u64 },
+    /// A front door is told to end in order, and starts again.
+    TerminateDoor { at: u64, door: usize, back_ms: u64 },
+    /// A front door reads its configuration anew: its discovery moves to another address.
+    ReloadDoor { at: u64, door: usize },
+    /// A node dies around its next answer: before it, inside it or right after it.
+    KillNode { at: u64, node: usize, point: Point },
+    /// A node's machine vanishes: nothing comes back, not even a reset.
+    VanishNode { at: u64, node: usize },
+    /// The next connection, or a standing one, is cut in the middle of what one side sends.
+    CutConnection {
+        at: u64,
+        door: usize,
+        node: usize,
+        answer: bool,
+        after: u64,
+        silent: bool,
+        standing: bool,
+    },
+    /// A client's next connection is cut in the middle of what one side sends.
+    CutClient { at: u64, door: usize, answer: bool, after: u64, silent: bool },
+    /// Door and node cannot reach each other for a while.
+    Partition { at: u64, door: usize, node: usize, for_ms: u64 },
+    /// Discovery says nothing.
+    DiscoverySilent { at: u64, door: usize, for_ms: u64 },
+    /// Discovery answers late.
+    DiscoveryLate { at: u64, door: usize, for_ms: u64, by_ms: u64 },
+    /// Discovery comes back from a restart with a list that is some revisions old.
+    DiscoveryStale { at: u64, door: usize, for_ms: u64, revisions: u64 },
+    /// Discovery tells an older change behind a newer one.
+    DiscoveryReordered { at: u64, door: usize },
+    /// A node is marked as draining, and gone some time later.
+    Drain { at: u64, node: usize, gone_ms: u64, turns_away: bool },
+    /// A node is replaced by a cold one under another id, at its address or at one of its own.
+    Replace { at: u64, node: usize, same_address: bool },
+    /// One plan's customers send more.
+    Surge { at: u64, plan: u64, for_ms: u64, requests: u64 },
+    /// A node's next answers are spoilt, or good with noise behind.
+    Garble { at: u64, node: usize, kind: Spoilt },
+    /// A node closes its idle connections.
+    CloseIdle { at: u64, node: usize },
+    /// A front door's wall clock is set.
+    WallClock { at: u64, door: usize, by_ms: i64 },
+    /// A client sends what cannot be read, or half of a request.
+    RudeClient { at: u64, door: usize, bytes: usize },
+    /// Many clients connect at once and say nothing.
+    Crowd { at: u64, door: usize, connections: usize },
+}
+
+/// Where around its answer a node dies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Point {
+    /// The request has run, nothing of the answer is written.
+    Before,
+    /// So many bytes of it are.
+    Inside(u64),
+    /// All of it is.
+    After,
+}
+
+/// How an answer is spoilt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Spoilt {
+    /// No HTTP.
+    Noise,
+    /// A length that does not fit: more is promised than comes.
+    Short,
+    /// Said to have 3 GB.
+    Huge,
+    /// Good, with a second copy behind.
+    Twice,
+    /// Good, behind a 1xx answer.
+    Informational,
+    /// Good, with a figure on use that cannot be read.
+    Meter,
+    /// 500.
+    Error,
+}
+
+/// Every kind of fault, with what it does, for `list-faults`.
+pub const FAULTS: [(&str, &str); 22] = [
+    (
+        "freeze_node",
+        "a node's processes stand still for a while; its system still takes connections and bytes",
+    ),
+    ("freeze_door", "a front door stands still and thaws with all its timers overdue"),
+    ("kill_door", "a front door is killed and starts again with the list of its first start"),
+    ("terminate_door", "a front door gets SIGTERM, ends in order and starts again"),
+    ("reload_door", "a front door gets SIGHUP, and its discovery moves"),
+    ("kill_node", "a node dies before, inside or right after its next answer"),
+    ("vanish_node", "a node's machine vanishes: its connections stay open and silent"),
+    (
+        "cut_connection",
+        "a connection to a node is reset or goes silent behind a drawn byte, either direction",
+    ),
+    ("cut_client", "the same on a client's connection"),
+    ("partition", "a door and a node cannot reach each other; what was sent arrives after the healing"),
+    ("discovery_silent", "a discovery agent says nothing for a while"),
+    ("discovery_late", "a discovery agent answers late for a while"),
+    ("discovery_stale", "a discovery agent restarts with a list some revisions old"),
+    ("discovery_reordered", "a discovery agent tells an older change behind a newer one"),
+    ("drain", "a node is marked as draining, and as gone some time later"),
+    ("replace", "a node goes and a cold one comes under another id, at the same address or another"),
+    ("surge", "the customers of one plan send more for a while"),
+    ("garble", "a node's next answer is spoilt, or good with noise around"),
+    ("close_idle", "a node closes its idle connections"),
+    ("wall_clock", "a front door's wall clock is set, forward or back"),
+    ("rude_client", "a client sends noise or half of a request"),
+    ("crowd", "hundreds of clients connect and say nothing"),
+];
+
+impl Scenario {
+    /// The script of a seed.
+    pub fn draw(seed: u64) -> Scenario {
+        let mut random = Random::new(seed, 1);
+        let doors = 2 + random.index(2);
+        let nodes = 4 + random.index(3);
+        let ties = random.pick(&[TieOrder::First, TieOrder::Last, TieOrder::Drawn]);
+        let small_window = random.pick(&[0.0, 0.0, 0.1, 0.4]);
+        let sockets = random.pick(&[64, 96, 256]);
+        let customers = 6 + random.between(0, 6);
+        // Calm days, and days on which all is asked for that the fleet can do.
+        let rate = random.pick(&[10.0, 15.0, 20.0, 30.0]);
+        let leaves = random.pick(&[0.0, 0.02, 0.15]);
+        let mut requests = Vec::new();
+        let mut at = 200.0;
+        loop {
+            at += -(1.0 - random.part()).ln() * 1000.0 / rate;
+            if at >= BUSY_MS as f64 {
+                break;
+            }
+            // On the grid of the timers often, so that events meet at one instant.
+            let at_us = if random.chance(0.3) { at as u64 * 1000 } else { (at * 1000.0) as u64 };
+            let patience_ms =
+                if random.chance(0.1) { random.between(20, 400) } else { random.between(2000, 4000) };
+            requests.push(RequestPlan {
+                at_us,
+                client: random.index(4),
+                customer: random.between(0, customers - 1),
+                unsafe_to_repeat: random.chance(0.46),
+                body: random.index(300),
+                patience_ms,
+                leaves_us: random.chance(leaves).then(|| random.between(0, 400_000)),
+                leaves_rudely: random.chance(0.3),
+                retries: random.pick(&[0, 1, 3]),
+            });
+        }
+        let mut faults = Vec::new();
+        match random.index(10) {
+            // Nothing but crowds: who asks in order is served all the same.
+            0 => {
+                for _ in 0..1 + random.index(4) {
+                    let (at, door) = (random.between(500, BUSY_MS), random.index(doors));
+                    let connections = random.between(100, 400) as usize;
+                    faults.push(Fault::Crowd { at, door, connections });
+                }
+            }
+            1 => draw_discovery_trouble(&mut random, doors, nodes, &mut faults),
+            2 => draw_cold_starts(&mut random, nodes, &mut faults),
+            3 => draw_surges(&mut random, doors, &mut faults),
+            4 => draw_silence(&mut random, doors, nodes, &mut faults),
+            _ => {
+                for _ in 0..random.index(9) {
+                    faults.push(draw_fault(&mut random, doors, nodes));
+                }
+            }
+        }
+        faults.sort_by_key(Fault::at);
+        Scenario { seed, ties, doors, nodes, sockets, small_window, requests, faults }
+    }
+
+    /// The script as text, which [`Scenario::parse`] reads.
+    pub fn to_text(&self) -> String {
+        serde_json::to_string_pretty(self).unwrap_or_default()
+    }
+
+    /// Reads a script.
+    ///
+    /// # Errors
+    /// One line on what is wrong, and where.
+    pub fn parse(text: &str) -> Result<Scenario, String> {
+        let scenario: Scenario = serde_json::from_str(text).map_err(|error| format!("scenario: {error}"))?;
+        if !(1..=8).contains(&scenario.doors) {
+            return Err(format!("scenario: doors: {} is not between 1 and 8", scenario.doors));
+        }
+        if !(1..=32).contains(&scenario.nodes) {
+            return Err(format!("scenario: nodes: {} is not between 1 and 32", scenario.nodes));
+        }
+        if !(40..=4096).contains(&scenario.sockets) {
+            return Err(format!("scenario: sockets: {} is not between 40 and 4096", scenario.sockets));
+        }
+        if !(0.0..=1.0).contains(&scenario.small_window) {
+            return Err(format!("scenario: small_window: {} is no probability", scenario.small_window));
+        }
+        for (number, fault) in scenario.faults.iter().enumerate() {
+            let (door, node) = fault.touches();
+            if door.is_some_and(|door| door >= scenario.doors) {
+                return Err(format!("scenario: faults[{number}].door: there are {} doors", scenario.doors));
+            }
+            if node.is_some_and(|node| node >= scenario.nodes) {
+                return Err(format!("scenario: faults[{number}].node: there are {} nodes", scenario.nodes));
+            }
+        }
+        for (number, request) in scenario.requests.iter().enumerate() {
+            if request.client >= 64 {
+                return Err(format!("scenario: requests[{number}].client: at most 64 clients"));
+            }
+            if request.body > 60_000 {
+                return Err(format!("scenario: requests[{number}].body: at most 60000 bytes"));
+            }
+        }
+        Ok(scenario)
+    }
+}
+
+impl Fault {
+    /// When it strikes, in milliseconds.
+    pub fn at(&self) -> u64 {
+        use Fault::*;
+        match *self {
+            FreezeNode { at, .. }
+            | FreezeDoor { at, .. }
+            | KillDoor { at, .. }
+            | TerminateDoor { at, .. }
+            | ReloadDoor { at, .. }
+            | KillNode { at, .. }
+            | VanishNode { at, .. }
+            | CutConnection { at, .. }
+            | CutClient { at, .. }
+            | Partition { at, .. }
+            | DiscoverySilent { at, .. }
+            | DiscoveryLate { at, .. }
+            | DiscoveryStale { at, .. }
+            | DiscoveryReordered { at, .. }
+            | Drain { at, .. }
+            | Replace { at, .. }
+            | Surge { at, .. }
+            | Garble { at, .. }
+            | CloseIdle { at, .. }
+            | WallClock { at, .. }
+            | RudeClient { at, .. }
+            | Crowd { at, .. } => at,
+        }
+    }
+
+    /// The door and the node that it names.
+    fn touches(&self) -> (Option<usize>, Option<usize>) {
+        use Fault::*;
+        match *self {
+            FreezeNode { node, .. }
+            | KillNode { node, .. }
+            | VanishNode { node, .. }
+            | Drain { node, .. }
+            | Replace { node, .. }
+            | Garble { node, .. }
+            | CloseIdle { node, .. } => (None, Some(node)),
+            FreezeDoor { door, .. }
+            | KillDoor { door, .. }
+            | TerminateDoor { door, .. }
+            | ReloadDoor { door, .. }
+            | CutClient { door, .. }
+            | DiscoverySilent { door, .. }
+            | DiscoveryLate { door, .. }
+            | DiscoveryStale { door, .. }
+            | DiscoveryReordered { door, .. }
+            | WallClock { door, .. }
+            | RudeClient { door, .. }
+            | Crowd { door, .. } => (Some(door), None),
+            CutConnection { door, node, .. } | Partition { door, node, .. } => (Some(door), Some(node)),
+            Surge { .. } => (None, None),
+        }
+    }
+}
+
+/// Nodes drain while discovery is late, stale, silent or out of order.
+fn draw_discovery_trouble(random: &mut Random, doors: usize, nodes: usize, faults: &mut Vec<Fault>) {
+    for node in 0..1 + random.index(nodes - 1) {
+        let at = random.between(500, 3000);
+        faults.push(Fault::Drain {
+            at,
+            node,
+            gone_ms: random.between(2000, 6000),
+            turns_away: random.chance(0.5),
+        });
+        let door = random.index(doors);
+        let at = at + random.between(700, 2500);
+        faults.push(match random.index(5) {
+            0 => Fault::DiscoverySilent { at, door, for_ms: random.between(500, 4000) },
+            1 => Fault::DiscoveryLate { at, door, for_ms: random.between(500, 4000), by_ms: 400 },
+            2 => Fault::DiscoveryReordered { at, door },
+            _ => Fault::DiscoveryStale {
+                at,
+                door,
+                for_ms: random.between(500, 2500),
+                revisions: random.between(1, 3),
+            },
+        });
+    }
+}
+
+/// Much of the fleet is replaced by cold nodes while plans surge.
+fn draw_cold_starts(random: &mut Random, nodes: usize, faults: &mut Vec<Fault>) {
+    for node in 0..1 + random.index(nodes / 2) {
+        let at = random.between(500, 2500);
+        faults.push(Fault::Replace { at, node, same_address: random.chance(0.5) });
+    }
+    for plan in 0..3 {
+        let at = random.between(1500, 4000);
+        faults.push(Fault::Surge { at, plan, for_ms: 3000, requests: random.between(40, 120) });
+    }
+}
+
+/// One plan's customers send far more than they may, through doors that die and come back.
+fn draw_surges(random: &mut Random, doors: usize, faults: &mut Vec<Fault>) {
+    for _ in 0..1 + random.index(3) {
+        let at = random.between(500, 4000);
+        faults.push(Fault::Surge { at, plan: 2, for_ms: 2000, requests: random.between(60, 250) });
+        if random.chance(0.5) {
+            let back_ms = random.between(100, 1000);
+            faults.push(Fault::KillDoor {
+                at: at + random.between(0, 2000),
+                door: random.index(doors),
+                back_ms,
+            });
+        }
+    }
+}
+
+/// Nodes say nothing while doors are told to end.
+fn draw_silence(random: &mut Random, doors: usize, nodes: usize, faults: &mut Vec<Fault>) {
+    let at = random.between(500, 4000);
+    for node in 0..1 + random.index(nodes) {
+        faults.push(match random.index(3) {
+            0 => Fault::VanishNode { at, node },
+            _ => Fault::FreezeNode { at, node, for_ms: random.between(1000, 8000) },
+        });
+    }
+    for door in 0..doors {
+        let at = at + random.between(0, 1000);
+        match random.index(3) {
+            0 => faults.push(Fault::FreezeDoor { at, door, for_ms: 2000 }),
+            1 => faults.push(Fault::TerminateDoor { at, door, back_ms: 4500 }),
+            _ => {}
+        }
+    }
+}
+
+fn draw_fault(random: &mut Random, doors: usize, nodes: usize) -> Fault {
+    let at = random.between(500, BUSY_MS);
+    let (door, node) = (random.index(doors), random.index(nodes));
+    match random.index(FAULTS.len()) {
+        0 => Fault::FreezeNode { at, node, for_ms: random.between(50, 1500) },
+        1 => Fault::FreezeDoor { at, door, for_ms: random.pick(&[30, 300, 700, 2000]) },
+        2 => Fault::KillDoor { at, door, back_ms: random.between(100, 3000) },
+        3 => Fault::TerminateDoor { at, door, back_ms: random.between(4000, 5000) },
+        4 => Fault::ReloadDoor { at, door },
+        5 => {
+            let inside = Point::Inside(random.between(1, 160));
+            Fault::KillNode { at, node, point: random.pick(&[Point::Before, inside, Point::After]) }
+        }
+        6 => Fault::VanishNode { at, node },
+        7 => Fault::CutConnection {
+            at,
+            door,
+            node,
+            answer: random.chance(0.5),
+            after: random.between(0, 500),
+            silent: random.chance(0.4),
+            standing: random.chance(0.5),
+        },
+        8 => Fault::CutClient {
+            at,
+            door,
+            answer: random.chance(0.5),
+            after: random.between(0, 400),
+            silent: random.chance(0.4),
+        },
+        9 => Fault::Partition { at, door, node, for_ms: random.between(50, 3000) },
+        10 => Fault::DiscoverySilent { at, door, for_ms: random.between(500, 4000) },
+        11 => Fault::DiscoveryLate {
+            at,
+            door,
+            for_ms: random.between(500, 4000),
+            by_ms: random.pick(&[30, 400, 1500]),
+        },
+        12 => Fault::DiscoveryStale {
+            at,
+            door,
+            for_ms: random.between(500, 2500),
+            revisions: random.between(1, 3),
+        },
+        13 => Fault::DiscoveryReordered { at, door },
+        14 => Fault::Drain { at, node, gone_ms: random.between(300, 4000), turns_away: random.chance(0.5) },
+        15 => Fault::Replace { at, node, same_address: random.chance(0.5) },
+        16 => Fault::Surge { at, plan: random.between(0, 2), for_ms: 2000, requests: random.between(20, 80) },
+        17 => Fault::Garble {
+            at,
+            node,
+            kind: random.pick(&[
+                Spoilt::Noise,
+                Spoilt::Short,
+                Spoilt::Huge,
+                Spoilt::Twice,
+                Spoilt::Informational,
+                Spoilt::Meter,
+                Spoilt::Error,
+            ]),
+        },
+        18 => Fault::CloseIdle { at, node },
+        19 => Fault::WallClock { at, door, by_ms: random.pick(&[-3_600_000, -700, 700, 3_600_000]) },
+        20 => Fault::Crowd { at, door, connections: random.between(40, 300) as usize },
+        _ => Fault::RudeClient { at, door, bytes: random.index(120) },
+    }
+}
--- /dev/null
+++ b/crates/brassport-sim/src/site.rs
@@ -0,0 +1,866 @@
+//! The simulated site: front doors, nodes, discovery and clients on one kernel, the faults of a script, and the
+//! loop that goes from event to event.
+
+use crate::agent::{Agent, Entry, Registry};
+use crate::client::Clients;
+use crate::door::{Process, Turn};
+use crate::kernel::{Cut, End, Host, Kernel, Nanos, Notice, Passed, PlannedCut, Script, Wires, MS};
+use crate::node::{Node, WORK};
+use crate::oracle::{Counts, Oracle, Rule, Violation};
+use crate::random::Random;
+use crate::scenario::{Fault, RequestPlan, Scenario, BUSY_MS, QUIET_MS};
+use crate::seams::START_UNIX;
+use crate::trace::Trace;
+use brassport::{config, Control, Inspection};
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Turns of one door within a virtual second: more is a spin.
+const MOST_TURNS_PER_S: u64 = 20_000;
+
+/// What the site's settings say, as far as the oracle and the scripts need it.
+#[derive(Debug, Clone, Copy)]
+pub struct Figures {
+    pub node_per_s: f64,
+    pub cold_from: f64,
+    pub cold_for: Nanos,
+    pub fall_after: Nanos,
+    pub tip_multiple: f64,
+    /// Requests beyond the budget that chance may bring.
+    pub tip_slack: f64,
+    pub drain_grace: Nanos,
+    pub max_attempts: usize,
+    pub ceiling_rate: f64,
+    pub ceiling_burst: f64,
+    pub ceiling_slack: f64,
+    pub meter_period: Nanos,
+    pub meter_late: Nanos,
+}
+
+/// Units a second of each plan's quota: starter, studio, practice.
+const RATES: [f64; 3] = [3.0, 4.0, 3.0];
+
+/// What a script's event is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u32)]
+pub enum Kind {
+    /// A request is sent for the first time.
+    RequestDue,
+    /// A client's patience is over.
+    PatienceOver,
+    /// A client leaves before that.
+    ClientLeaves,
+    /// A client tries again.
+    TryAgain,
+    /// A node has finished a request.
+    JobDone,
+    /// A watch on the list has waited as long as it asked to.
+    WatchOver,
+    /// An answer of discovery's that was held back.
+    LateAnswer,
+    /// Discovery hears of a revision.
+    RevisionTold,
+    /// A fault strikes.
+    FaultBegins,
+    /// A fault is over.
+    FaultEnds,
+    /// A node that drained is gone.
+    NodeGone,
+    /// A door starts again.
+    DoorStarts,
+    /// Nothing, but time goes on.
+    Tick,
+}
+
+const KINDS: [Kind; 13] = [
+    Kind::RequestDue,
+    Kind::PatienceOver,
+    Kind::ClientLeaves,
+    Kind::TryAgain,
+    Kind::JobDone,
+    Kind::WatchOver,
+    Kind::LateAnswer,
+    Kind::RevisionTold,
+    Kind::FaultBegins,
+    Kind::FaultEnds,
+    Kind::NodeGone,
+    Kind::DoorStarts,
+    Kind::Tick,
+];
+
+/// Where a front door listens.
+pub fn door_address(door: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 1, door as u8 + 1], 8443))
+}
+
+fn node_address(node: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 2, node as u8 + 1], 9000))
+}
+
+fn agent_addresses(door: usize) -> [SocketAddr; 2] {
+    [8500, 8501].map(|port| SocketAddr::from(([127, 0, 3, door as u8 + 1], port)))
+}
+
+/// The node at an address, if it is one of a node's.
+pub fn node_of_answer(address: SocketAddr) -> Option<usize> {
+    match address {
+        SocketAddr::V4(at) if at.ip().octets()[2] == 2 => Some(usize::from(at.ip().octets()[3]) - 1),
+        _ => None,
+    }
+}
+
+/// Through how many doors a customer's requests come.
+pub fn spread_of(customer: u64, doors: usize) -> usize {
+    (1 + customer as usize / 3 % 3).min(doors)
+}
+
+/// The meter: what each customer used over all doors in the last period that was added up.
+pub struct Meter {
+    /// The site's figures.
+    pub figures: Figures,
+    seen: BTreeSet<String>,
+    counts: BTreeMap<(u64, u64), u64>,
+}
+
+impl Meter {
+    /// Counts a request when it first comes whole to a node.
+    pub fn count(&mut self, id: &str, customer: u64, now: Nanos) {
+        if self.seen.insert(id.to_string()) {
+            *self.counts.entry((customer, now / self.figures.meter_period)).or_default() += 1;
+        }
+    }
+
+    /// The customer's use that is told now, in percent of its quota.
+    pub fn told(&self, customer: u64, now: Nanos) -> u64 {
+        let period = self.figures.meter_period;
+        let Some(last) = (now.saturating_sub(self.figures.meter_late) / period).checked_sub(1) else {
+            return 0;
+        };
+        let units = self.counts.get(&(customer, last)).copied().unwrap_or(0);
+        let quota = RATES[(customer % 3) as usize] * period as f64 / 1e9;
+        (100.0 * units as f64 / quota) as u64
+    }
+}
+
+struct DoorHost {
+    host: Host,
+    process: Option<Process>,
+    wall: Rc<Cell<i64>>,
+    known: Value,
+    /// It was told to end.
+    terminated: bool,
+    moved: usize,
+    starts: u64,
+    turns_before: u64,
+}
+
+/// How a run ended.
+#[derive(Debug)]
+pub struct Report {
+    /// The first broken rule.
+    pub violation: Option<Violation>,
+    /// The request's history, where the rule is about one.
+    pub history: Vec<(Nanos, String)>,
+    /// Over every wire event of the run.
+    pub digest: u64,
+    /// What the run did.
+    pub counts: Counts,
+    /// Virtual time that it took.
+    pub virtual_time: Nanos,
+    /// Events that were carried out.
+    pub events: u64,
+}
+
+/// A site in a run.
+pub struct Site {
+    kernel: Kernel,
+    scenario: Scenario,
+    figures: Figures,
+    random: Random,
+    doors: Vec<DoorHost>,
+    nodes: Vec<Node>,
+    agents: Vec<Agent>,
+    registry: Registry,
+    clients: Clients,
+    meter: Meter,
+    oracle: Oracle,
+    trace: Trace,
+    /// Notices and events for scripted machines that stand still.
+    held: BTreeMap<Host, VecDeque<Held>>,
+    told: BTreeMap<u64, (usize, u64)>,
+    events: u64,
+}
+
+enum Held {
+    Notice(Notice),
+    Script(Script),
+}
+
+/// Plays a script to its end, or to the first broken rule.
+pub fn run(scenario: &Scenario, trace: Trace) -> (Report, Trace) {
+    let mut site = Site::build(scenario, trace);
+    site.play();
+    let violation = site.oracle.violation().cloned();
+    let request = violation.as_ref().and_then(|violation| violation.request.clone());
+    let history = request.map(|id| site.oracle.history(&id)).unwrap_or_default();
+    let report = Report {
+        violation,
+        history,
+        digest: site.trace.digest(),
+        counts: site.oracle.counts,
+        virtual_time: site.kernel.now(),
+        events: site.events,
+    };
+    let trace = std::mem::take(&mut site.trace);
+    (report, trace)
+}
+
+impl Site {
+    fn build(scenario: &Scenario, trace: Trace) -> Site {
+        let seed = scenario.seed;
+        let mut random = Random::new(seed, 2);
+        // Far machines take whole messages at a time: an answer that needs many turns there is late by the network.
+        let far = if scenario.small_window > 0.0 { (MS, 3 * MS) } else { (5 * MS, 20 * MS) };
+        let latency = random.pick(&[(100_000, 300_000), (MS, MS), (300_000, 3 * MS), far]);
+        let wires = Wires { latency, small_window: scenario.small_window };
+        let kernel = Kernel::new(scenario.ties.into(), Random::new(seed, 3), wires);
+        let figures = Figures {
+            node_per_s: 2e9 / (WORK.0 + WORK.1) as f64,
+            cold_from: 0.24,
+            cold_for: 8_000 * MS,
+            fall_after: 3_000 * MS,
+            tip_multiple: 2.0,
+            tip_slack: 2.0,
+            drain_grace: 500 * MS,
+            max_attempts: 4,
+            ceiling_rate: 6.0,
+            ceiling_burst: 12.0,
+            ceiling_slack: 1.2,
+            meter_period: 500 * MS,
+            meter_late: random.between(220, 1400) * MS,
+        };
+        let nodes: Vec<Node> = (0..scenario.nodes)
+            .map(|number| {
+                let uid = format!("s-{number:08x}");
+                Node::start(&kernel, Host(100 + number as u32), node_address(number), uid, None)
+            })
+            .collect();
+        let entries = nodes.iter().map(|node| Entry {
+            uid: node.uid.clone(),
+            address: node.address,
+            state: "ready",
+            boot_ms: 0.0,
+        });
+        let registry = Registry::new(entries.collect());
+        let agents = (0..scenario.doors)
+            .map(|door| Agent::start(&kernel, Host(200 + door as u32), agent_addresses(door)))
+            .collect();
+        let doors = (0..scenario.doors)
+            .map(|door| {
+                let host = Host(door as u32);
+                kernel.add_machine(host, true);
+                DoorHost {
+                    host,
+                    process: None,
+                    wall: Rc::default(),
+                    known: registry.whole(1),
+                    terminated: false,
+                    moved: 0,
+                    starts: 0,
+                    turns_before: 0,
+                }
+            })
+            .collect();
+        let requests = with_surges(scenario);
+        let clients = Clients::start(&kernel, scenario.doors, requests, Random::new(seed, 4));
+        let mut site = Site {
+            kernel,
+            scenario: scenario.clone(),
+            figures,
+            random,
+            doors,
+            nodes,
+            agents,
+            registry,
+            clients,
+            meter: Meter { figures, seen: BTreeSet::new(), counts: BTreeMap::new() },
+            oracle: Oracle::new(figures),
+            trace,
+            held: BTreeMap::new(),
+            told: BTreeMap::new(),
+            events: 0,
+        };
+        for door in 0..scenario.doors {
+            site.start_door(door);
+        }
+        for (number, fault) in scenario.faults.iter().enumerate() {
+            site.plan(fault.at() * MS, Kind::FaultBegins, 0, number as u64);
+        }
+        for second in 1..=(BUSY_MS + QUIET_MS) / 1000 {
+            site.plan(second * 1000 * MS, Kind::Tick, 0, second);
+        }
+        site
+    }
+
+    fn plan(&self, at: Nanos, kind: Kind, whose: u64, which: u64) {
+        self.kernel.plan(at, Script { kind: kind as u32, whose, which });
+    }
+
+    fn play(&mut self) {
+        let end = (BUSY_MS + QUIET_MS) * MS;
+        self.turn_doors();
+        loop {
+            self.observe();
+            if self.oracle.violation().is_some() {
+                return;
+            }
+            match self.kernel.step(end) {
+                None => break,
+                Some(script) => {
+                    self.events += 1;
+                    if let Some(script) = script {
+                        self.script(script);
+                    }
+                }
+            }
+            while let Some((host, notice)) = self.kernel.notice() {
+                self.notice(host, notice);
+            }
+            self.turn_doors();
+            self.check_descriptors();
+        }
+        self.check_served();
+        self.check_quiet();
+    }
+
+    /// A process may hold so many descriptors and no more: more would be refused, or be its end.
+    fn check_descriptors(&mut self) {
+        for door in &self.doors {
+            // Beside its connections: the listener, the event queue, its input and outputs.
+            let held = self.kernel.sockets(door.host) + 6;
+            if held > self.scenario.sockets {
+                let what = format!("door {} holds {held} descriptors", door.host.0);
+                self.oracle.break_rule(Rule::Descriptors, self.kernel.now(), None, what);
+            }
+        }
+    }
+
+    /// Where nothing is wrong but that crowds connect and say nothing, who asks is served.
+    fn check_served(&mut self) {
+        let only_crowds = self.scenario.faults.iter().all(|fault| matches!(fault, Fault::Crowd { .. }));
+        let counts = self.oracle.counts;
+        if only_crowds && !self.scenario.faults.is_empty() && counts.crowded_out > 0 {
+            let what =
+                format!("{} answers 503 or failures at a door that a crowd stood at", counts.crowded_out);
+            self.oracle.break_rule(Rule::Descriptors, self.kernel.now(), None, what);
+        }
+    }
+
+    fn observe(&mut self) {
+        let passed = self.kernel.passed();
+        if passed.is_empty() {
+            self.oracle.watch(&self.kernel, passed);
+            return;
+        }
+        for (now, passed) in &passed {
+            self.trace.wire(*now, passed);
+        }
+        self.oracle.watch(&self.kernel, passed);
+    }
+
+    fn turn_doors(&mut self) {
+        for door in 0..self.doors.len() {
+            if self.kernel.is_frozen(self.doors[door].host) {
+                continue;
+            }
+            let Some(process) = &mut self.doors[door].process else { continue };
+            let now = self.kernel.now();
+            match process.turn() {
+                Turn::Runs => {}
+                Turn::Ended(result) => {
+                    // Oracle first: what passed in this turn comes before the end of the process.
+                    self.observe();
+                    self.doors[door].process = None;
+                    if !self.doors[door].terminated || result.is_err() {
+                        let what = format!("door {door} ended: {result:?}");
+                        self.oracle.break_rule(Rule::Crash, now, None, what);
+                    }
+                }
+                Turn::Panicked(said) => {
+                    let what = format!("door {door} panicked: {said}");
+                    self.oracle.break_rule(Rule::Crash, now, None, what);
+                }
+                Turn::Spins => {
+                    let what = format!("door {door} goes on without time passing");
+                    self.oracle.break_rule(Rule::Spin, now, None, what);
+                }
+            }
+        }
+    }
+
+    // ---- Doors. ----
+
+    fn start_door(&mut self, door: usize) {
+        let now = self.kernel.now();
+        let text = self.door_config(door);
+        let host = &mut self.doors[door];
+        host.starts += 1;
+        host.turns_before = 0;
+        host.terminated = false;
+        self.oracle.door_started(host.host, now, &host.known.to_string());
+        match Process::start(&self.kernel, host.host, host.wall.clone(), &text) {
+            Ok(process) => host.process = Some(process),
+            Err(problem) => self.oracle.break_rule(Rule::Crash, now, None, problem),
+        }
+    }
+
+    fn door_config(&self, door: usize) -> String {
+        let host = &self.doors[door];
+        let figures = self.figures;
+        let class = |name, semantics, worth: f64| {
+            json!({"name": name, "semantics": semantics, "group": "all", "dedupWindow": 5000.0, "worth": worth,
+                   "slo": 1000.0, "deadline": 4000.0, "lateShare": 0.0, "stream": false})
+        };
+        let plan = |number: usize, name: &str, open: u32, ceiling: bool| {
+            let rate = RATES[number];
+            json!({"name": name, "unitsPerS": rate, "storeSize": 4.0 * rate, "concurrency": open, "price": 1.0,
+                   "excessWorth": 0.0, "overrunCost": 0.8,
+                   "neverOverRate": if ceiling { figures.ceiling_rate } else { 0.0 },
+                   "capDepth": if ceiling { figures.ceiling_burst } else { 0.0 },
+                   "tolerance": if ceiling { figures.ceiling_slack } else { 0.0 }})
+        };
+        let ms = |span: Nanos| span as f64 / MS as f64;
+        json!({
+            "name": format!("n{door}"),
+            "listen": door_address(door).to_string(),
+            "discovery": self.agents[door].addresses[host.moved].to_string(),
+            "seed": format!("{:016x}", self.scenario.seed.wrapping_mul(31).wrapping_add(host.starts * 8 + door as u64)),
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.scenario.sockets},
+            "known": host.known,
+            "settings": {
+                "areas": ["a"], "balancers": self.scenario.doors, "ordinal": door, "zone": 0, "tick": 4.0,
+                "registryMode": "pushed",
+                "bounds": {"cancel": true, "connIdle": 15000.0, "connectTimeout": 250.0,
+                           "maxAttempts": figures.max_attempts, "maxRetryAfter": 500.0, "mayDuplicate": false,
+                           "retryAfter": true},
+                "rules": {"cold": ms(figures.cold_for), "coldFrom": figures.cold_from,
+                          "fall": ms(figures.fall_after), "stopSendingWithin": ms(figures.drain_grace),
+                          "tipMultiple": figures.tip_multiple},
+                "familyInfo": {"mostUnits": 1, "usePeriod": ms(figures.meter_period)},
+                "classes": [class("preview-fetch", "free", 3.0), class("job-submit", "single_shot", 2.0)],
+                "plans": [plan(0, "starter", 0, false), plan(1, "studio", 4, false), plan(2, "practice", 0, true)],
+            },
+        })
+        .to_string()
+    }
+
+    fn kill_door(&mut self, door: usize) {
+        let (host, now) = (self.doors[door].host, self.kernel.now());
+        if self.doors[door].process.is_none() {
+            return;
+        }
+        self.observe();
+        self.oracle.door_killed(host, now);
+        self.kernel.kill(host);
+        self.doors[door].process = None;
+        self.oracle.door_frozen(host, now, false);
+    }
+
+    // ---- Events. ----
+
+    fn notice(&mut self, host: Host, notice: Notice) {
+        if self.kernel.is_frozen(host) {
+            self.held.entry(host).or_default().push_back(Held::Notice(notice));
+            return;
+        }
+        let end = match notice {
+            Notice::Connected(end, up) => {
+                self.clients.connected(&self.kernel, &mut self.oracle, end, up);
+                return;
+            }
+            Notice::Accepted(end) | Notice::Data(end) | Notice::Eof(end) | Notice::Reset(end) => end,
+        };
+        let kernel = &self.kernel;
+        match host.0 {
+            number @ 100..=199 => {
+                let Some(node) = self.nodes.iter_mut().find(|node| node.host.0 == number) else { return };
+                if node.dead {
+                    return;
+                }
+                match notice {
+                    Notice::Accepted(_) => node.accepted(end),
+                    Notice::Data(_) => {
+                        node.data(kernel, &mut self.oracle, &mut self.meter, &mut self.random, end);
+                    }
+                    _ => node.gone(kernel, end),
+                }
+            }
+            number @ 200..=299 => {
+                let agent = &mut self.agents[number as usize - 200];
+                match notice {
+                    Notice::Accepted(_) => agent.accepted(end),
+                    Notice::Data(_) => agent.data(kernel, &self.registry, end),
+                    _ => agent.gone(kernel, end),
+                }
+            }
+            _ => match notice {
+                Notice::Data(_) => self.clients.data(kernel, end),
+                Notice::Eof(_) => self.clients.gone(kernel, end, false),
+                Notice::Reset(_) => self.clients.gone(kernel, end, true),
+                _ => {}
+            },
+        }
+    }
+
+    fn script(&mut self, script: Script) {
+        let Some(kind) = KINDS.get(script.kind as usize).copied() else { return };
+        let kernel = &self.kernel;
+        match kind {
+            Kind::RequestDue => self.clients.begin(kernel, &mut self.oracle, script.which as usize),
+            Kind::PatienceOver => self.clients.leave(kernel, &mut self.oracle, script.which, false),
+            Kind::ClientLeaves => self.clients.leave(kernel, &mut self.oracle, script.which, true),
+            Kind::TryAgain => self.clients.again(kernel, &mut self.oracle, script.which),
+            Kind::JobDone => {
+                let host = Host(script.whose as u32);
+                if kernel.is_frozen(host) {
+                    self.held.entry(host).or_default().push_back(Held::Script(script));
+                    return;
+                }
+                let Some(place) = self.nodes.iter().position(|node| node.host == host) else { return };
+                let node = &mut self.nodes[place];
+                if !node.dead
+                    && node.done(kernel, &mut self.oracle, &self.meter, &mut self.random, script.which)
+                {
+                    self.node_gone(place);
+                }
+            }
+            Kind::WatchOver => {
+                let agent = &mut self.agents[script.whose as usize - 200];
+                agent.watch_over(kernel, &self.registry, script.which);
+            }
+            Kind::LateAnswer => self.agents[script.whose as usize - 200].late_answer(kernel, script.which),
+            Kind::RevisionTold => {
+                let Some((door, revision)) = self.told.remove(&script.which) else { return };
+                let agent = &mut self.agents[door];
+                agent.revision = agent.revision.max(revision);
+                agent.tell(kernel, &self.registry);
+            }
+            Kind::FaultBegins => self.fault(script.which as usize, true),
+            Kind::FaultEnds => self.fault(script.which as usize, false),
+            Kind::NodeGone => self.node_gone(script.which as usize),
+            Kind::DoorStarts => {
+                let door = script.which as usize;
+                if self.doors[door].process.is_none() {
+                    self.start_door(door);
+                }
+            }
+            Kind::Tick => {
+                for door in 0..self.doors.len() {
+                    let turns = self.doors[door].process.as_ref().map_or(0, |process| process.turns);
+                    if turns.saturating_sub(self.doors[door].turns_before) > MOST_TURNS_PER_S {
+                        let what = format!("door {door} was busy all of a second");
+                        self.oracle.break_rule(Rule::Spin, self.kernel.now(), None, what);
+                    }
+                    self.doors[door].turns_before = turns;
+                }
+            }
+        }
+    }
+
+    /// The list changes: each agent hears of it in its own time.
+    fn change(&mut self, entry: Entry) {
+        self.registry.change(entry);
+        let revision = self.registry.revision();
+        for door in 0..self.doors.len() {
+            let which = self.told.len() as u64 + 1000 * revision;
+            self.told.insert(which, (door, revision));
+            let at = self.kernel.now() + self.random.between(10, 1200) * MS;
+            self.plan(at, Kind::RevisionTold, 0, which);
+        }
+    }
+
+    fn entry(&self, node: usize, state: &'static str) -> Entry {
+        let node = &self.nodes[node];
+        let boot_ms = node.started.map_or(0.0, |at| START_UNIX.as_millis() as f64 + at as f64 / MS as f64);
+        Entry { uid: node.uid.clone(), address: node.address, state, boot_ms }
+    }
+
+    fn node_gone(&mut self, node: usize) {
+        if !self.nodes[node].dead {
+            let kernel = self.kernel.clone();
+            self.nodes[node].die(&kernel);
+        }
+        let entry = self.entry(node, "gone");
+        self.change(entry);
+    }
+
+    /// The node that a fault means by its number: the latest of those that took its place.
+    fn node(&self, number: usize) -> usize {
+        let place = self.nodes.iter().rposition(|node| node.host.0 % 32 == (100 + number as u32) % 32);
+        place.unwrap_or(number)
+    }
+
+    fn thaw_scripted(&mut self, host: Host) {
+        self.kernel.thaw(host);
+        for held in self.held.remove(&host).unwrap_or_default() {
+            match held {
+                Held::Notice(notice) => self.notice(host, notice),
+                Held::Script(script) => self.script(script),
+            }
+        }
+    }
+
+    fn fault(&mut self, number: usize, begins: bool) {
+        let kernel = self.kernel.clone();
+        let now = kernel.now();
+        let fault = self.scenario.faults[number].clone();
+        let ends = |site: &Site, for_ms: u64| site.plan(now + for_ms * MS, Kind::FaultEnds, 0, number as u64);
+        if begins {
+            self.trace.note(now, &format!("fault {}", json!(fault)));
+        }
+        match fault {
+            Fault::FreezeNode { node, for_ms, .. } => {
+                let host = self.nodes[self.node(node)].host;
+                if begins {
+                    kernel.freeze(host);
+                    ends(self, for_ms);
+                } else {
+                    self.thaw_scripted(host);
+                }
+            }
+            Fault::FreezeDoor { door, for_ms, .. } => {
+                let host = self.doors[door].host;
+                if begins && self.doors[door].process.is_some() && !kernel.is_frozen(host) {
+                    kernel.freeze(host);
+                    self.oracle.door_frozen(host, now, true);
+                    ends(self, for_ms);
+                } else if !begins {
+                    self.oracle.door_frozen(host, now, false);
+                    kernel.thaw(host);
+                }
+            }
+            Fault::KillDoor { door, back_ms, .. } => {
+                self.kill_door(door);
+                self.plan(now + back_ms * MS, Kind::DoorStarts, 0, door as u64);
+            }
+            Fault::TerminateDoor { door, back_ms, .. } => {
+                if let Some(process) = &self.doors[door].process {
+                    process.tell(Control::Terminate);
+                    self.doors[door].terminated = true;
+                }
+                self.plan(now + back_ms * MS, Kind::DoorStarts, 0, door as u64);
+            }
+            Fault::ReloadDoor { door, .. } => {
+                self.doors[door].moved = 1 - self.doors[door].moved;
+                let text = self.door_config(door);
+                if let Some(process) = &self.doors[door].process {
+                    let config = config::parse(&text, config::First::File, |_| None);
+                    process.tell(Control::Reload(Box::new(config)));
+                    self.oracle.door_moved(self.doors[door].host);
+                }
+            }
+            Fault::KillNode { node, point, .. } => {
+                let node = self.node(node);
+                if !self.nodes[node].dead {
+                    self.nodes[node].dies = Some(point);
+                }
+            }
+            Fault::VanishNode { node, .. } => {
+                let node = self.node(node);
+                kernel.vanish(self.nodes[node].host, true);
+                let at = now + self.random.between(1000, 3000) * MS;
+                self.plan(at, Kind::NodeGone, 0, node as u64);
+            }
+            Fault::CutConnection { door, node, answer, after, silent, standing, .. } => {
+                let node = self.node(node);
+                let (host, how) = (self.doors[door].host, if silent { Cut::Silent } else { Cut::Reset });
+                if standing {
+                    self.nodes[node].cut(&kernel, host, answer, after, how);
+                } else {
+                    let to = self.nodes[node].address;
+                    kernel.cut_next(PlannedCut {
+                        to,
+                        from: Some(host),
+                        side: usize::from(answer),
+                        after,
+                        how,
+                    });
+                }
+            }
+            Fault::CutClient { door, answer, after, silent, .. } => {
+                let how = if silent { Cut::Silent } else { Cut::Reset };
+                let to = door_address(door);
+                kernel.cut_next(PlannedCut { to, from: None, side: usize::from(answer), after, how });
+            }
+            Fault::Partition { door, node, for_ms, .. } => {
+                let (door, node) = (self.doors[door].host, self.nodes[self.node(node)].host);
+                kernel.partition(door, node, begins);
+                if begins {
+                    ends(self, for_ms);
+                }
+            }
+            Fault::DiscoverySilent { door, for_ms, .. } => {
+                self.agents[door].silent = begins;
+                if begins {
+                    ends(self, for_ms);
+                }
+            }
+            Fault::DiscoveryLate { door, for_ms, by_ms, .. } => {
+                self.agents[door].late = if begins { by_ms * MS } else { 0 };
+                if begins {
+                    ends(self, for_ms);
+                }
+            }
+            Fault::DiscoveryStale { door, for_ms, revisions, .. } => {
+                self.agents[door].stale = if begins { revisions } else { 0 };
+                if begins {
+                    self.agents[door].reset(&kernel);
+                    ends(self, for_ms);
+                } else {
+                    self.agents[door].tell(&kernel, &self.registry);
+                }
+            }
+            Fault::DiscoveryReordered { door, .. } => self.agents[door].reorder = true,
+            Fault::Drain { node, gone_ms, turns_away, .. } => {
+                let node = self.node(node);
+                if !self.nodes[node].dead {
+                    self.nodes[node].turns_away = Some(turns_away);
+                    let entry = self.entry(node, "draining");
+                    self.change(entry);
+                    self.plan(now + gone_ms * MS, Kind::NodeGone, 0, node as u64);
+                }
+            }
+            Fault::Replace { node, same_address, .. } => {
+                let old = self.node(node);
+                self.node_gone(old);
+                let number = self.nodes.len();
+                let host = Host(self.nodes[old].host.0 + 32);
+                if host.0 >= 196 {
+                    return;
+                }
+                let address = if same_address { self.nodes[old].address } else { node_address(number + 32) };
+                let uid = format!("s-{:08x}", 0x100 + number);
+                self.nodes.push(Node::start(&kernel, host, address, uid.clone(), Some(now)));
+                self.oracle.node_started(host, &uid, now);
+                let entry = self.entry(number, "ready");
+                self.change(entry);
+            }
+            Fault::Surge { .. } => {}
+            Fault::Garble { node, kind, .. } => {
+                let node = self.node(node);
+                self.nodes[node].spoilt.push_back(kind);
+            }
+            Fault::CloseIdle { node, .. } => {
+                let node = self.node(node);
+                self.nodes[node].close_idle(&kernel);
+            }
+            Fault::WallClock { door, by_ms, .. } => {
+                let wall = &self.doors[door].wall;
+                wall.set(wall.get() + by_ms * MS as i64);
+            }
+            Fault::RudeClient { door, bytes, .. } => self.clients.be_rude(&kernel, door, bytes),
+            Fault::Crowd { door, connections, .. } => {
+                for _ in 0..connections {
+                    self.clients.be_rude(&kernel, door, 0);
+                }
+            }
+        }
+    }
+
+    // ---- The end. ----
+
+    /// All is quiet: nothing may be left of any request.
+    fn check_quiet(&mut self) {
+        let now = self.kernel.now();
+        for door in 0..self.doors.len() {
+            let host = self.doors[door].host;
+            let Some(process) = &mut self.doors[door].process else { continue };
+            let found: Rc<RefCell<Option<Inspection>>> = Rc::default();
+            let place = found.clone();
+            process
+                .tell(Control::Inspect(Box::new(move |inspection| *place.borrow_mut() = Some(inspection))));
+            process.turn();
+            let inspection = found.borrow_mut().take();
+            let Some(inspection) = inspection else {
+                self.oracle.break_rule(
+                    Rule::Leak,
+                    now,
+                    None,
+                    format!("door {door} does not say what it holds"),
+                );
+                continue;
+            };
+            // Its own word is for what no wire shows; sockets are counted by the kernel.
+            let ends: Vec<(End, SocketAddr)> = self.kernel.held_ends(host);
+            let agents = agent_addresses(door);
+            let strays: Vec<_> = ends.iter().filter(|(_, to)| !agents.contains(to)).collect();
+            let timers = self.kernel.timers(host);
+            let problem = if !strays.is_empty() {
+                Some(format!("sockets {strays:?}"))
+            } else if ends.len() > 1 {
+                Some(format!("{} connections to discovery", ends.len()))
+            } else if inspection.in_flight != 0 {
+                Some(format!("{} requests in flight", inspection.in_flight))
+            } else if inspection.descriptors_taken > 1 {
+                Some(format!("{} descriptors taken", inspection.descriptors_taken))
+            } else if inspection.body_bytes != 0 {
+                Some(format!("{} bytes of bodies", inspection.body_bytes))
+            } else if inspection.client_connections != 0 {
+                Some(format!("{} connections of clients noted", inspection.client_connections))
+            } else if timers > 8 {
+                Some(format!("{timers} timers"))
+            } else {
+                None
+            };
+            if let Some(problem) = problem {
+                self.oracle.break_rule(
+                    Rule::Leak,
+                    now,
+                    None,
+                    format!("door {door} holds {problem} when all is quiet"),
+                );
+            }
+        }
+    }
+}
+
+/// The requests of a script and those of its surges.
+fn with_surges(scenario: &Scenario) -> Vec<RequestPlan> {
+    let mut requests = scenario.requests.clone();
+    for (number, fault) in scenario.faults.iter().enumerate() {
+        let Fault::Surge { at, plan, for_ms, requests: more } = *fault else { continue };
+        let mut random = Random::new(scenario.seed, 100 + number as u64);
+        for _ in 0..more {
+            requests.push(RequestPlan {
+                at_us: at * 1000 + random.between(0, for_ms * 1000),
+                client: random.index(4),
+                customer: plan + 3 * random.between(0, 3),
+                unsafe_to_repeat: random.chance(0.46),
+                body: random.index(300),
+                patience_ms: random.between(2000, 4000),
+                leaves_us: None,
+                leaves_rudely: false,
+                retries: 1,
+            });
+        }
+    }
+    requests
+}
+
+/// What passed, as a trace tells it.
+pub fn describe(kernel_end: End, passed: &Passed) -> String {
+    let End { conn, side } = kernel_end;
+    let (word, bytes) = match passed {
+        Passed::Taken(_) => ("taken", 0),
+        Passed::Wrote(_, bytes) => ("wrote", bytes.len()),
+        Passed::Came(_, bytes) => ("came", bytes.len()),
+        Passed::Ended(_) => ("ended", 0),
+        Passed::Broke(_) => ("broke", 0),
+        Passed::Closed(_) => ("closed", 0),
+        Passed::Finished(_) => ("finished", 0),
+    };
+    format!("c{}.{side} {word} {bytes}", conn.0)
+}
--- a/crates/brassport/src/backends.rs
+++ b/crates/brassport/src/backends.rs
@@ -1,19 +1,22 @@
 //! The backends: where they are, the idle connections to them, and the attempts.
 
-use crate::link::{Failure, Link};
+use crate::clock::Clock;
+use crate::connection::{Connection, Failure};
+use crate::mutants::mutant;
+use crate::network::Network;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use springusher::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// Most bytes of a body, either way.
 pub const BODY_LIMIT: usize = 64 * 1024;
@@ -48,29 +51,39 @@
     }
 }
 
-struct Pooled {
-    link: Link,
+struct Pooled<S: AsyncRead + AsyncWrite + Unpin + 'static> {
+    connection: Connection<S>,
     since: Instant,
     _descriptor: OwnedSemaphorePermit,
 }
 
-struct Backend {
+struct Backend<S: AsyncRead + AsyncWrite + Unpin + 'static> {
     address: SocketAddr,
     ready: bool,
     /// The one used last stands at the end.
-    idle: Vec<Pooled>,
+    idle: Vec<Pooled<S>>,
 }
 
-pub struct Backends {
-    known: RefCell<HashMap<ServerId, Backend>>,
+pub struct Backends<C, N: Network> {
+    clock: C,
+    network: N,
+    known: RefCell<BTreeMap<ServerId, Backend<N::Stream>>>,
     descriptors: Arc<Semaphore>,
     connect_timeout: Duration,
     keep_idle: Duration,
 }
 
-impl Backends {
-    pub fn new(descriptors: Arc<Semaphore>, connect_timeout: Duration, idle_timeout: Duration) -> Backends {
+impl<C: Clock, N: Network> Backends<C, N> {
+    pub fn new(
+        clock: C,
+        network: N,
+        descriptors: Arc<Semaphore>,
+        connect_timeout: Duration,
+        idle_timeout: Duration,
+    ) -> Backends<C, N> {
         Backends {
+            clock,
+            network,
             known: RefCell::default(),
             descriptors,
             connect_timeout,
@@ -109,16 +122,14 @@
     /// Closes connections that have been idle for long or that the other side has closed.
     pub async fn sweep(&self) {
         loop {
-            sleep(SWEEP).await;
-            let parked: Vec<(ServerId, SocketAddr, Vec<Pooled>)> = self
-                .known
-                .borrow_mut()
-                .iter_mut()
-                .map(|(id, backend)| (*id, backend.address, std::mem::take(&mut backend.idle)))
-                .collect();
+            self.clock.sleep(SWEEP).await;
+            let take = |(id, backend): (&ServerId, &mut Backend<N::Stream>)| {
+                (*id, backend.address, std::mem::take(&mut backend.idle))
+            };
+            let parked: Vec<_> = self.known.borrow_mut().iter_mut().map(take).collect();
             for (id, address, idle) in parked {
                 for mut pooled in idle {
-                    if pooled.since.elapsed() < self.keep_idle && pooled.link.is_usable().await {
+                    if self.age(&pooled) < self.keep_idle && pooled.connection.is_usable().await {
                         self.park(id, address, pooled);
                     }
                 }
@@ -138,14 +149,23 @@
     ) -> End {
         let written = Cell::new(false);
         let exchange = self.exchange(id, message, expire_at, wanted, &written);
+        #[cfg(not(feature = "mutants"))]
+        let mut exchange = std::pin::pin!(exchange);
+        // On the heap, for the mutant that keeps it.
+        #[cfg(feature = "mutants")]
+        let mut exchange = Box::pin(exchange);
         // The exchange owns the connection: whichever branch ends first, the others are dropped, and the
         // socket closed, before this returns and the module hears of it.
         let ended = tokio::select! {
             biased;
             _ = cancel => Outcome::Cancelled,
-            end = exchange => return end,
-            () = sleep_until(expire_at) => Outcome::TimedOut,
+            end = &mut exchange => return end,
+            () = self.clock.sleep_until(expire_at) => Outcome::TimedOut,
         };
+        #[cfg(feature = "mutants")]
+        if mutant!(KeepTimedOutAttempt) && ended == Outcome::TimedOut {
+            std::mem::forget(exchange);
+        }
         match (written.get(), ended) {
             (true, ended) => ended.into(),
             (false, Outcome::Cancelled) => Outcome::Moot.into(),
@@ -171,37 +191,46 @@
         };
         // Guards against sending to a backend that began to drain, went or moved while the connection came
         // up, and against sending for a request that was answered meanwhile.
-        if self.ready_at(id) != Some(address) || !wanted() {
+        if self.ready_at(id) != Some(address) || !(wanted() || mutant!(SendBehindAnswer)) {
             return Outcome::Moot.into();
         }
         written.set(true);
-        let answer = match pooled.link.exchange(message.to_send(expire_at), BODY_LIMIT).await {
+        let answer = match pooled
+            .connection
+            .exchange(message.to_send(expire_at.saturating_duration_since(self.clock.now())), BODY_LIMIT)
+            .await
+        {
             Ok(answer) => answer,
             Err(Failure::Unsent) => return Outcome::NoConnection.into(),
+            Err(Failure::Broken) if mutant!(RetryAfterReset) => return Outcome::NoConnection.into(),
             Err(Failure::Broken) => return Outcome::Reset.into(),
         };
-        if pooled.link.is_usable().await {
-            pooled.since = Instant::now();
+        if pooled.connection.is_usable().await {
+            pooled.since = self.clock.now();
             self.park(id, address, pooled);
         }
         judge(answer)
     }
 
+    fn age(&self, pooled: &Pooled<N::Stream>) -> Duration {
+        self.clock.now().saturating_duration_since(pooled.since)
+    }
+
     fn ready_at(&self, id: ServerId) -> Option<SocketAddr> {
         self.known.borrow().get(&id).filter(|backend| backend.ready).map(|backend| backend.address)
     }
 
     /// The warmest idle connection that still stands.
-    async fn idle(&self, id: ServerId) -> Option<Pooled> {
+    async fn idle(&self, id: ServerId) -> Option<Pooled<N::Stream>> {
         loop {
             let mut pooled = self.known.borrow_mut().get_mut(&id)?.idle.pop()?;
-            if pooled.since.elapsed() < self.keep_idle && pooled.link.is_usable().await {
+            if self.age(&pooled) < self.keep_idle && pooled.connection.is_usable().await {
                 return Some(pooled);
             }
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Pooled> {
+    async fn connect(&self, address: SocketAddr) -> Option<Pooled<N::Stream>> {
         let descriptor = loop {
             match self.descriptors.clone().try_acquire_owned() {
                 Ok(descriptor) => break descriptor,
@@ -210,11 +239,17 @@
             }
         };
         // Guards against a machine that is cut off: its connections never come up.
-        let link = timeout(self.connect_timeout, Link::open(address)).await.ok()?.ok()?;
-        Some(Pooled { link, since: Instant::now(), _descriptor: descriptor })
+        let open = async { Connection::over(self.network.connect(address).await?).await };
+        let opened = self.clock.timeout(self.connect_timeout, open).await.and_then(Result::ok);
+        if mutant!(LeakDescriptor) && opened.is_none() {
+            std::mem::forget(descriptor);
+            return None;
+        }
+        let connection = opened?;
+        Some(Pooled { connection, since: self.clock.now(), _descriptor: descriptor })
     }
 
-    fn park(&self, id: ServerId, address: SocketAddr, pooled: Pooled) {
+    fn park(&self, id: ServerId, address: SocketAddr, pooled: Pooled<N::Stream>) {
         let mut known = self.known.borrow_mut();
         if let Some(backend) =
             known.get_mut(&id).filter(|backend| backend.ready && backend.address == address)
@@ -225,13 +260,12 @@
 }
 
 impl Message {
-    fn to_send(&self, expire_at: Instant) -> Request<Full<Bytes>> {
+    fn to_send(&self, left: Duration) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = expire_at.saturating_duration_since(Instant::now()).as_micros();
-        if let Ok(left) = HeaderValue::from_str(&format!("{left}u")) {
+        if let Ok(left) = HeaderValue::from_str(&format!("{}u", left.as_micros())) {
             request.headers_mut().insert("x-deadline", left);
         }
         request
@@ -243,6 +277,9 @@
     let header = |name| answer.headers().get(name).and_then(|value| value.to_str().ok());
     let used = used(answer.headers());
     let turned_away = header("x-not-run").is_some_and(|text| text.trim() == "1");
+    if mutant!(ErrorNeverRan) && answer.status() == StatusCode::INTERNAL_SERVER_ERROR {
+        return End { outcome: Outcome::Full, used, answer: None };
+    }
     match answer.status() {
         StatusCode::OK => End { outcome: Outcome::Ok, used, answer: Some(answer) },
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
@@ -257,6 +294,9 @@
 fn used(headers: &HeaderMap) -> Option<f64> {
     let mut figures = headers.get_all("usage-percent").iter();
     let (figure, further) = (figures.next()?, figures.next());
+    if mutant!(PanicOnMeter) {
+        figure.to_str().expect("text").parse::<f64>().expect("a number");
+    }
     let percent = figure.to_str().ok()?.trim().parse::<f64>().ok()?;
     (further.is_none() && (0.0..=MOST_PERCENT).contains(&percent)).then_some(percent / 100.0)
 }
--- a/crates/brassport/src/clients.rs
+++ b/crates/brassport/src/clients.rs
@@ -1,9 +1,14 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
 use crate::backends::{Backends, Message, BODY_LIMIT};
-use crate::callers::{Caller, Callers, Stage, Wire};
+use crate::clock::Clock;
 use crate::config::Names;
+use crate::connections::{ClientConnection, Connections, Stage, Wire};
+use crate::date::DateHeader;
 use crate::door::{Answer, Door};
+use crate::mutants::mutant;
+use crate::network::{Listener, Network};
+use crate::shutdown::{Phase, Shutdown};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -15,13 +20,12 @@
 use springusher::{Effect, Settings};
 use std::convert::Infallible;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use std::time::{Duration, Instant};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
-use tokio::time::{interval, sleep, timeout_at, Instant, MissedTickBehavior};
 
 /// A client's time runs from when it sent the request to when it has the whole answer: so much is kept back
 /// for the way here and back.
@@ -59,66 +63,68 @@
     HeaderName::from_static("x-load"),
 ];
 
-/// How far a shutdown has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    Serving,
-    /// Clients still come; each answer closes its connection.
-    Leaving,
-    /// No more are accepted, and idle connections are closed.
-    Closing,
-}
-
 /// What every connection needs.
-pub struct Desk {
-    pub door: Rc<Door>,
-    pub backends: Rc<Backends>,
+pub struct Context<C: Clock, N: Network> {
+    pub clock: C,
+    pub door: Rc<Door<C, N>>,
+    pub backends: Rc<Backends<C, N>>,
     pub names: Names,
     pub settings: Settings,
-    pub phase: watch::Receiver<Phase>,
-    /// Bytes that the bodies in hand may still take, all together.
+    pub shutdown: Rc<Shutdown>,
+    pub date: DateHeader,
+    /// All connections of clients.
+    pub connections: Rc<Connections<C>>,
+    /// Bytes that the bodies in flight may still take, all together.
     pub bodies: Semaphore,
 }
 
 /// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
-pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>) {
+pub async fn serve<C: Clock, N: Network>(
+    listener: N::Listener,
+    context: Rc<Context<C, N>>,
+    descriptors: Arc<Semaphore>,
+) {
     let reserve = RESERVE.min(descriptors.available_permits() / RESERVE_PART);
+    let reserve = if mutant!(IgnoreReserve) { 0 } else { reserve };
     let few = descriptors.available_permits() / FEW_PART;
-    let callers = Rc::new(Callers::default());
+    let clients = &context.connections;
     // Guards against connections that nobody waits on and that hold all descriptors. Those that a client
     // most likely has no more use for go first.
     let spare = |least: usize| {
-        while descriptors.available_permits() + callers.leaving() < least {
-            if !callers.shed() && !desk.backends.shed_idle() {
+        while descriptors.available_permits() + clients.leaving() < least {
+            if !clients.shed() && !context.backends.shed_idle() {
                 return false;
             }
         }
         true
     };
-    let mut phase = desk.phase.clone();
     let mut connections = JoinSet::new();
-    let mut sweeps = interval(SWEEP);
-    sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut closing = pin!(context.shutdown.closing());
+    let mut sweep = pin!(context.clock.sleep(SWEEP));
     loop {
         // The next connection once there is a descriptor for it; until then it waits in the backlog.
         let next = async {
             spare(1);
             let descriptor = descriptors.clone().acquire_owned().await.map_err(io::Error::other)?;
-            let (stream, _) = listener.accept().await?;
+            let stream = listener.accept().await?;
             Ok::<_, io::Error>((stream, descriptor))
         };
         tokio::select! {
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
-            _ = sweeps.tick() => callers.sweep(few),
+            biased;
+            () = &mut closing => break,
+            () = &mut sweep => {
+                clients.sweep(few);
+                sweep.set(context.clock.sleep(SWEEP));
+            }
             Some(_) = connections.join_next() => {}
             next = next => match next {
                 Ok((stream, descriptor)) => {
                     let crowded = !spare(reserve);
-                    let caller = callers.enter();
-                    connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, caller));
+                    let client = clients.enter();
+                    connections.spawn_local(connection(stream, descriptor, context.clone(), crowded, client));
                 }
                 // Guards against a spin where the system is out of descriptors or the like.
-                Err(_) => sleep(BACK_OFF).await,
+                Err(_) => context.clock.sleep(BACK_OFF).await,
             },
         }
     }
@@ -127,94 +133,109 @@
 }
 
 /// Serves one client's connection to its end. One that came while all others were busy gets refusals.
-async fn connection(
-    stream: TcpStream,
+async fn connection<C: Clock, N: Network>(
+    stream: N::Stream,
     _descriptor: OwnedSemaphorePermit,
-    desk: Rc<Desk>,
+    context: Rc<Context<C, N>>,
     crowded: bool,
-    caller: Caller,
+    client: ClientConnection<C>,
 ) {
-    let _ = stream.set_nodelay(true);
-    let caller = Rc::new(caller);
-    let wire = Wire::new(stream, caller.clone());
-    let mut phase = desk.phase.clone();
+    let client = Rc::new(client);
+    let wire = Wire::new(stream, client.clone());
     let service = service_fn(|request| {
-        caller.stage(Stage::Open);
-        let (desk, caller) = (desk.clone(), caller.clone());
+        client.stage(Stage::Open);
+        let (context, client) = (context.clone(), client.clone());
         async move {
             let response = if crowded {
-                Err(refusal(desk.settings.max_retry_after))
+                Err(refusal(context.settings.max_retry_after))
             } else {
-                answer(&desk, request, caller.asking_until()).await
+                answer(&context, request, client.asking_until()).await
             };
-            caller.stage(if response.is_err() { Stage::Last } else { Stage::Idle });
-            let last = response.is_err() || *desk.phase.borrow() != Phase::Serving;
+            client.stage(if response.is_err() { Stage::Last } else { Stage::Idle });
+            let last = response.is_err() || context.shutdown.phase() != Phase::Serving;
             let (Ok(mut response) | Err(mut response)) = response;
             if last {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
+            response.headers_mut().insert(header::DATE, context.date.value(context.clock.unix()));
             Ok::<_, Infallible>(response)
         }
     });
-    let mut serving =
-        http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(TokioIo::new(wire), service);
-    let mut closing = false;
+    // The date comes from the seam: hyper would ask the system.
+    let mut serving = http1::Builder::new()
+        .max_buf_size(HEAD_LIMIT)
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(wire), service);
+    let mut closing = pin!(context.shutdown.closing());
+    let mut told = false;
     let ended = loop {
         tokio::select! {
+            biased;
             ended = &mut serving => break ended,
-            _ = phase.wait_for(|phase| *phase == Phase::Closing), if !closing => {
+            () = &mut closing, if !told => {
                 // An idle one closes now, a busy one behind its answer.
-                closing = true;
+                told = true;
+                if mutant!(CloseWithoutAnswer) {
+                    return;
+                }
                 std::pin::Pin::new(&mut serving).graceful_shutdown();
             }
             // Nobody waits for an answer on it.
-            () = caller.dismissed() => return,
+            () = client.dismissed() => return,
         }
     };
     // Its client has gone, or what it sent is no HTTP and was answered so; else it was closed in order.
-    if ended.is_err() || caller.at() == Stage::Last {
-        caller.stage(Stage::Last);
+    if ended.is_err() || client.at() == Stage::Last {
+        client.stage(Stage::Last);
         tokio::select! {
+            biased;
             () = serving.into_parts().io.into_inner().linger() => {}
             // Others need its descriptor more.
-            () = caller.dismissed() => {}
+            () = client.dismissed() => {}
         }
     }
 }
 
 /// The answer to a request; an error if its connection must not be used again. `asked_by` is when all of the
 /// request must have come.
-async fn answer(
-    desk: &Desk,
+async fn answer<C: Clock, N: Network>(
+    context: &Context<C, N>,
     request: Request<Incoming>,
     asked_by: Instant,
 ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
-    let came = Instant::now();
+    let came = context.clock.now();
     // Guards against a request hidden in another's body: hyper takes out a Content-Length that stands beside
     // a Transfer-Encoding, so that nobody behind it can tell. No client here has need of the latter.
     if request.headers().contains_key(header::TRANSFER_ENCODING) {
         return Err(text(StatusCode::BAD_REQUEST, "Transfer-Encoding is not taken"));
     }
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
-        let up = *desk.phase.borrow() == Phase::Serving && desk.backends.any_ready();
+        let up = context.shutdown.phase() == Phase::Serving && context.backends.any_ready();
         return Ok(text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
     }
     let (head, body) = request.into_parts();
-    let asked = check(&head, desk).map_err(|problem| text(StatusCode::BAD_REQUEST, problem))?;
+    let asked = check(&head, context).map_err(|problem| text(StatusCode::BAD_REQUEST, problem))?;
     // Guards against bodies that fill the memory: the length is known before the first byte.
     let length = body.size_hint().upper().and_then(|length| usize::try_from(length).ok());
     let length = length.filter(|length| *length <= BODY_LIMIT);
     let length = length.ok_or_else(|| text(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"))?;
-    let room = desk.bodies.try_acquire_many(length as u32);
-    let _room = room.map_err(|_| refusal(desk.settings.max_retry_after))?;
-    let body = match timeout_at(asked_by, body.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return Err(text(StatusCode::BAD_REQUEST, "the body is broken")),
-        Err(_) => return Err(text(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
+    let room = context.bodies.try_acquire_many(length as u32);
+    let room = room.map_err(|_| refusal(context.settings.max_retry_after))?;
+    let _room = if mutant!(LeakBody) {
+        room.forget();
+        None
+    } else {
+        Some(room)
+    };
+    let body = match context.clock.timeout_at(asked_by, body.collect()).await {
+        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(_)) => return Err(text(StatusCode::BAD_REQUEST, "the body is broken")),
+        None => return Err(text(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
     };
-    let deadline = came + asked.patience.saturating_sub(MARGIN);
+    let patience = if mutant!(ForgetDeadline) { Duration::from_secs(3600) } else { asked.patience };
+    let deadline = came + patience.saturating_sub(MARGIN);
     let message = Message { method: head.method, uri: asked.uri, headers: pass_on(head.headers), body };
-    let Some(ticket) = desk.door.admit(asked.request, asked.id, message, deadline) else {
+    let Some(ticket) = context.door.admit(asked.request, asked.id, message, deadline) else {
         return Err(text(StatusCode::CONFLICT, "a request of this id is open"));
     };
     Ok(match ticket.answer(deadline).await {
@@ -225,6 +246,7 @@
             response
         }
         Answer::Refused(wait) => refusal(wait),
+        Answer::Failed if mutant!(RefuseAfterMayHaveRun) => refusal(0.0),
         Answer::Failed => text(StatusCode::GATEWAY_TIMEOUT, "no answer of a backend"),
     })
 }
@@ -272,7 +294,7 @@
 }
 
 /// Guards against malformed input: what does not make sense goes no further.
-fn check(head: &Parts, desk: &Desk) -> Result<Asked, &'static str> {
+fn check<C: Clock, N: Network>(head: &Parts, context: &Context<C, N>) -> Result<Asked, &'static str> {
     // Guards against headers that contradict each other: whoever reads on might go by the other one.
     if OURS.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
         return Err("a header stands there twice");
@@ -282,19 +304,19 @@
     let id = id.filter(|id| id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)));
     let id = id.ok_or("X-Request-Id is missing or no id")?.to_string();
     let index = |names: &[String], name| names.iter().position(|known| Some(known.as_str()) == name);
-    let class = index(&desk.names.classes, field("x-class")).ok_or("X-Class names no class")?;
-    if head.uri.path().split('/').nth(1) != Some(&desk.names.classes[class]) {
+    let class = index(&context.names.classes, field("x-class")).ok_or("X-Class names no class")?;
+    if head.uri.path().split('/').nth(1) != Some(&context.names.classes[class]) {
         return Err("the path does not begin with the class");
     }
     // The method follows from the class: a request that may be sent again must be one that says so itself.
-    if (desk.settings.classes[class].effect == Effect::Free) != (head.method == Method::GET) {
+    if (context.settings.classes[class].effect == Effect::Free) != (head.method == Method::GET) {
         return Err("the method is not the class's");
     }
-    let plan = index(&desk.names.plans, field("plan")).ok_or("Plan names no plan")?;
+    let plan = index(&context.names.plans, field("plan")).ok_or("Plan names no plan")?;
     let customer = field("cookie").and_then(customer).ok_or("the cookie names no client")?;
-    let most = Duration::from_secs_f64(desk.settings.classes[class].deadline / 1000.0);
+    let most = Duration::from_secs_f64(context.settings.classes[class].deadline / 1000.0);
     let patience = field("x-deadline").and_then(span).ok_or("X-Deadline is no length of time")?.min(most);
-    let quota = field("quota-info").and_then(|text| quota(text, &desk.settings));
+    let quota = field("quota-info").and_then(|text| quota(text, &context.settings));
     let (units, spread) = quota.ok_or("Quota-Info makes no sense")?;
     let target = head.uri.path_and_query().ok_or("the request has no path")?;
     let request = springusher::Request {
--- a/crates/brassport/src/config.rs
+++ b/crates/brassport/src/config.rs
@@ -157,9 +157,21 @@
 pub fn read(first: First) -> Result<Config, String> {
     let path = env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
     let text = fs::read_to_string(&path).map_err(|error| format!("cannot read {path}: {error}"))?;
-    let file: File = serde_json::from_str(&text).map_err(|error| format!("configuration: {error}"))?;
+    parse(&text, first, |name| env::var(name).ok())
+}
+
+/// Checks a configuration; `environment` gives the variables that go with it.
+///
+/// # Errors
+/// As [`read`].
+pub fn parse(
+    text: &str,
+    first: First,
+    environment: impl Fn(&str) -> Option<String>,
+) -> Result<Config, String> {
+    let file: File = serde_json::from_str(text).map_err(|error| format!("configuration: {error}"))?;
     let address = |name: &str, written: Option<String>| {
-        let said = env::var(name).ok();
+        let said = environment(name);
         let text = if first == First::File { written.or(said) } else { said.or(written) };
         let text = text.ok_or_else(|| format!("{name} is not set"))?;
         text.parse::<SocketAddr>().map_err(|_| format!("{name}: '{text}' is no address with a port"))
--- a/crates/brassport/src/callers.rs
+++ b/crates/brassport/src/connections.rs
@@ -1,16 +1,16 @@
 //! The clients' connections as such: how far each has come, which of them to close, and how.
 
+use crate::clock::Clock;
+use crate::mutants::mutant;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{timeout, Instant};
 
 /// How long all of a request may take to come, from the connection's start or its own first byte: a client
 /// that has not asked by then is owed an end within 3 s.
@@ -30,7 +30,7 @@
 pub enum Stage {
     /// No whole request has come on it yet.
     New,
-    /// A request is in hand.
+    /// A request is in flight.
     Open,
     /// Answered, with nothing of a further request.
     Idle,
@@ -56,7 +56,7 @@
         self.stage.set(Stage::Leaving);
         self.dismiss.notify_one();
     }
-    fn overdue(&self, many: bool) -> bool {
+    fn overdue(&self, many: bool, now: Instant) -> bool {
         let most = match self.stage.get() {
             Stage::New | Stage::Asking => ASKING,
             Stage::Idle if many && self.asked.get() <= 1 => LEAST_IDLE,
@@ -64,29 +64,39 @@
             Stage::Idle | Stage::Last => IDLE,
             Stage::Open | Stage::Leaving => return false,
         };
-        self.since.get().elapsed() >= most
+        now.saturating_duration_since(self.since.get()) >= most
     }
 }
 
 /// All connections of clients, in the order in which they came.
-#[derive(Debug, Default)]
-pub struct Callers {
+#[derive(Debug)]
+pub struct Connections<C> {
+    clock: C,
     all: RefCell<BTreeMap<u64, Rc<State>>>,
     last: Cell<u64>,
 }
 
-impl Callers {
-    pub fn enter(self: &Rc<Self>) -> Caller {
+impl<C: Clock> Connections<C> {
+    pub fn new(clock: C) -> Connections<C> {
+        Connections { clock, all: RefCell::default(), last: Cell::new(0) }
+    }
+
+    pub fn enter(self: &Rc<Self>) -> ClientConnection<C> {
         let number = self.last.get() + 1;
         self.last.set(number);
         let state = Rc::new(State {
             stage: Cell::new(Stage::New),
-            since: Cell::new(Instant::now()),
+            since: Cell::new(self.clock.now()),
             asked: Cell::new(0),
             dismiss: Notify::new(),
         });
         self.all.borrow_mut().insert(number, state.clone());
-        Caller { all: self.clone(), number, state }
+        ClientConnection { all: self.clone(), number, state }
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.all.borrow().len()
     }
 
     /// How many were told to close and have not yet.
@@ -99,11 +109,11 @@
     /// one idle for long, else one idle that asked only once, else one still new, else any idle one. False if
     /// there is none.
     pub fn shed(&self) -> bool {
-        let all = self.all.borrow();
+        let (all, now) = (self.all.borrow(), self.clock.now());
         let longest = |stage, most_asked, least| {
             let fits = |state: &&Rc<State>| state.stage.get() == stage && state.asked.get() <= most_asked;
             let longest = all.values().filter(fits).min_by_key(|state| state.since.get());
-            longest.filter(|state| state.since.get().elapsed() >= least)
+            longest.filter(|state| now.saturating_duration_since(state.since.get()) >= least)
         };
         // Guards against crowds that ask once and stay: they hold what newcomers need, and are back at once.
         let chosen = longest(Stage::Last, u32::MAX, SHY)
@@ -124,28 +134,28 @@
     /// out here. Beyond `few` connections, an idle one has less time. Hurts a client in a crowd that asks
     /// rarely: it has to connect anew.
     pub fn sweep(&self, few: usize) {
-        let all = self.all.borrow();
+        let (all, now) = (self.all.borrow(), self.clock.now());
         let many = all.len() > few;
-        for state in all.values().filter(|state| state.overdue(many)) {
+        for state in all.values().filter(|state| state.overdue(many, now)) {
             state.leave();
         }
     }
 }
 
 /// One client's connection among all; it is taken off when this is dropped.
-pub struct Caller {
-    all: Rc<Callers>,
+pub struct ClientConnection<C: Clock> {
+    all: Rc<Connections<C>>,
     number: u64,
     state: Rc<State>,
 }
 
-impl Caller {
+impl<C: Clock> ClientConnection<C> {
     /// Notes a new stage. What was told to close stays so only until it turns out to be in use.
     pub fn stage(&self, stage: Stage) {
         // A request's time begins with its first byte, not when all of its head is there.
         let begun = matches!(self.at(), Stage::New | Stage::Asking) && stage == Stage::Open;
         if !begun {
-            self.state.since.set(Instant::now());
+            self.state.since.set(self.all.clock.now());
         }
         if stage == Stage::Open {
             self.state.asked.set(self.state.asked.get().saturating_add(1));
@@ -170,26 +180,27 @@
     }
 }
 
-impl Drop for Caller {
+impl<C: Clock> Drop for ClientConnection<C> {
     fn drop(&mut self) {
         self.all.all.borrow_mut().remove(&self.number);
     }
 }
 
-/// A client's socket, which tells its caller's stage of the first byte behind an answer.
-pub struct Wire {
-    stream: TcpStream,
-    caller: Rc<Caller>,
+/// A client's socket, which notes the first byte behind an answer as a stage of its connection.
+pub struct Wire<C: Clock, S> {
+    stream: S,
+    connection: Rc<ClientConnection<C>>,
 }
 
-impl Wire {
-    pub fn new(stream: TcpStream, caller: Rc<Caller>) -> Wire {
-        Wire { stream, caller }
+impl<C: Clock, S: AsyncRead + AsyncWrite + Unpin> Wire<C, S> {
+    pub fn new(stream: S, connection: Rc<ClientConnection<C>>) -> Wire<C, S> {
+        Wire { stream, connection }
     }
 
     /// Ends the sending, then reads what still comes until the client ends too, for a bounded time. Guards
     /// against an answer that is lost: closing a socket with bytes unread resets the connection.
     pub async fn linger(mut self) {
+        let clock = self.connection.all.clock.clone();
         let drain = async {
             self.stream.shutdown().await?;
             let mut bytes = vec![0; 16 * 1024];
@@ -197,11 +208,11 @@
             Ok::<_, io::Error>(())
         };
         // Its end is all that is waited for.
-        let _ = timeout(LINGER, drain).await;
+        let _ = clock.timeout(LINGER, drain).await;
     }
 }
 
-impl AsyncRead for Wire {
+impl<C: Clock, S: AsyncRead + Unpin> AsyncRead for Wire<C, S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -209,19 +220,22 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before && self.caller.at() == Stage::Idle {
-            self.caller.stage(Stage::Asking);
+        if buffer.filled().len() > before && self.connection.at() == Stage::Idle {
+            self.connection.stage(Stage::Asking);
         }
         read
     }
 }
 
-impl AsyncWrite for Wire {
+impl<C: Clock, S: AsyncWrite + Unpin> AsyncWrite for Wire<C, S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        if mutant!(AnswerTwice) && bytes.starts_with(b"HTTP/1.1 200") {
+            let _ = Pin::new(&mut self.stream).poll_write(context, bytes);
+        }
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
     fn poll_write_vectored(
--- a/crates/brassport/src/discovery.rs
+++ b/crates/brassport/src/discovery.rs
@@ -1,17 +1,18 @@
-//! Discovery: follows the list of backends and tells the door of each change.
+//! Discovery: follows the list of backends and hands on each change.
 
-use crate::door::Door;
-use crate::link::Link;
+use crate::clock::Clock;
+use crate::connection::Connection;
+use crate::mutants::mutant;
+use crate::network::Network;
+use crate::revisions::Revisions;
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
 use springusher::ListKind;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
 
 /// How long a watch may wait for news, and how long its answer may take beyond that.
 const WAIT: Duration = Duration::from_millis(1000);
@@ -62,60 +63,95 @@
     Unknown,
 }
 
-/// Watches for ever, from the start again wherever discovery moves to.
-pub async fn follow(mut address: watch::Receiver<SocketAddr>, door: Rc<Door>) {
-    loop {
-        let at = *address.borrow_and_update();
-        tokio::select! {
-            () = watch_at(at, &door) => {}
-            moved = address.changed() => if moved.is_err() { return },
-        }
-    }
+/// Who is told of the list.
+pub trait ListReader {
+    /// Takes in the whole list, or what changed in it.
+    fn take(&self, kind: ListKind, list: List);
 }
 
-/// Watches at one address. Whatever the agent does, the list held stays in force.
-async fn watch_at(address: SocketAddr, door: &Rc<Door>) {
-    let mut link = None;
-    let mut last = None;
-    let mut back_off = FIRST_BACK_OFF;
-    loop {
-        // Guards against an agent that is silent: a call is given up and its connection closed.
-        match timeout(WAIT + OVERDUE, ask(&mut link, address, last)).await {
-            Ok(Some(list)) => {
-                last = Some(list.rev);
-                back_off = FIRST_BACK_OFF;
-                door.servers(if list.all { ListKind::Full } else { ListKind::Delta }, list);
-                sleep(PACE).await;
-            }
-            _ => {
-                (link, last) = (None, None);
-                sleep(back_off).await;
-                back_off = (2 * back_off).min(LAST_BACK_OFF);
+/// The watch on the list, at one agent at a time.
+pub struct Watch<C, N: Network, R> {
+    pub clock: C,
+    pub network: N,
+    pub reader: R,
+}
+
+impl<C: Clock, N: Network, R: ListReader> Watch<C, N, R> {
+    /// Watches for ever, from the start again wherever discovery moves to.
+    pub async fn follow(self, mut address: watch::Receiver<SocketAddr>) {
+        loop {
+            let at = *address.borrow_and_update();
+            tokio::select! {
+                biased;
+                moved = address.changed() => if moved.is_err() { return },
+                () = self.watch_at(at) => {}
             }
         }
     }
-}
 
-/// One call: the whole list, or what is newer than the version `after`.
-async fn ask(link: &mut Option<Link>, address: SocketAddr, after: Option<u64>) -> Option<List> {
-    let path = match after {
-        None => "/v1/servers".to_string(),
-        Some(rev) => format!("/v1/servers?after={rev}&wait_ms={}", WAIT.as_millis()),
-    };
-    let request = Request::get(path).header(HOST, address.to_string()).body(Full::default()).ok()?;
-    if let Some(open) = link {
-        if !open.is_usable().await {
-            *link = None;
+    /// Watches at one address. Whatever the agent does, the list held stays in force.
+    async fn watch_at(&self, address: SocketAddr) {
+        let mut connection = None;
+        let mut last = None;
+        let mut revisions = Revisions::default();
+        let mut back_off = FIRST_BACK_OFF;
+        loop {
+            // Guards against an agent that is silent: a call is given up and its connection closed.
+            match self.clock.timeout(WAIT + OVERDUE, self.ask(&mut connection, address, last)).await {
+                Some(Some(list))
+                    if revisions.is_news(list.rev, list.all, self.clock.now()) || mutant!(StaleListTaken) =>
+                {
+                    if mutant!(DrainLate) {
+                        self.clock.sleep(Duration::from_millis(700)).await;
+                    }
+                    last = Some(list.rev);
+                    back_off = FIRST_BACK_OFF;
+                    self.reader.take(if list.all { ListKind::Full } else { ListKind::Delta }, list);
+                    self.clock.sleep(PACE).await;
+                }
+                Some(Some(_)) => {
+                    // It answers, and with an old list: it may know better any moment.
+                    (connection, last) = (None, None);
+                    self.clock.sleep(FIRST_BACK_OFF).await;
+                }
+                _ => {
+                    (connection, last) = (None, None);
+                    self.clock.sleep(back_off).await;
+                    back_off = (2 * back_off).min(LAST_BACK_OFF);
+                }
+            }
         }
     }
-    let open = match link {
-        Some(open) => open,
-        None => link.insert(timeout(CONNECT, Link::open(address)).await.ok()?.ok()?),
-    };
-    let answer = open.exchange(request, LIST_LIMIT).await.ok()?;
-    if answer.status() != StatusCode::OK {
-        return None;
+
+    /// One call: the whole list, or what is newer than the version `after`.
+    async fn ask(
+        &self,
+        connection: &mut Option<Connection<N::Stream>>,
+        address: SocketAddr,
+        after: Option<u64>,
+    ) -> Option<List> {
+        let path = match after {
+            None => "/v1/servers".to_string(),
+            Some(rev) => format!("/v1/servers?after={rev}&wait_ms={}", WAIT.as_millis()),
+        };
+        let request = Request::get(path).header(HOST, address.to_string()).body(Full::default()).ok()?;
+        if let Some(open) = connection {
+            if !open.is_usable().await {
+                *connection = None;
+            }
+        }
+        let open = match connection {
+            Some(open) => open,
+            None => {
+                let open = async { Connection::over(self.network.connect(address).await?).await };
+                connection.insert(self.clock.timeout(CONNECT, open).await?.ok()?)
+            }
+        };
+        let answer = open.exchange(request, LIST_LIMIT).await.ok()?;
+        if answer.status() != StatusCode::OK {
+            return None;
+        }
+        let list: List = serde_json::from_slice(answer.body()).ok()?;
+        (list.all || after.is_some()).then_some(list)
     }
-    let list: List = serde_json::from_slice(answer.body()).ok()?;
-    (list.all || after.is_some()).then_some(list)
 }
--- a/crates/brassport/src/door.rs
+++ b/crates/brassport/src/door.rs
@@ -1,21 +1,23 @@
 //! The door: the single owner of the decision module. It keeps the module's clock and timers and the
-//! requests in hand, hands events in, and carries actions out in order. It decides nothing.
+//! requests in flight, hands events in, and carries actions out in order. It decides nothing.
 
 use crate::backends::{Backends, End, Message};
-use crate::discovery::{List, State, Target};
+use crate::clock::Clock;
+use crate::discovery::{List, ListReader, State, Target};
 use crate::log;
+use crate::mutants::mutant;
+use crate::network::Network;
 use hyper::body::Bytes;
 use hyper::Response;
 use springusher::{Action, AttemptEnd, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis};
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{sleep_until, Instant};
 
 /// The final answer to a client.
 pub enum Answer {
@@ -26,23 +28,24 @@
 }
 
 /// The module's clock: milliseconds since the start, never running backwards.
-struct Clock {
+struct ModuleClock<C> {
+    clock: C,
     start: Instant,
     /// Unix time at the start. It is read once, so that a moment told twice is the same moment both times.
     start_unix: Millis,
 }
 
-impl Clock {
-    fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), start_unix: unix.as_secs_f64() * 1000.0 }
+impl<C: Clock> ModuleClock<C> {
+    fn new(clock: C) -> ModuleClock<C> {
+        let (start, start_unix) = (clock.now(), clock.unix().as_secs_f64() * 1000.0);
+        ModuleClock { clock, start, start_unix }
     }
     fn now(&self) -> Millis {
-        self.start.elapsed().as_secs_f64() * 1000.0
+        self.clock.now().saturating_duration_since(self.start).as_secs_f64() * 1000.0
     }
     fn instant(&self, at: Millis) -> Instant {
         let since = Duration::try_from_secs_f64(at / 1000.0).unwrap_or_default();
-        self.start.checked_add(since).unwrap_or_else(Instant::now)
+        self.start.checked_add(since).unwrap_or_else(|| self.clock.now())
     }
     fn of_unix(&self, unix: Millis) -> Millis {
         unix - self.start_unix
@@ -50,7 +53,7 @@
 }
 
 /// A request that awaits its answer or the ends of its attempts.
-struct InHand {
+struct InFlight {
     /// Its client's name for it.
     name: String,
     message: Rc<Message>,
@@ -64,71 +67,82 @@
 
 struct Inner {
     gateway: Gateway,
-    requests: HashMap<RequestId, InHand>,
+    requests: BTreeMap<RequestId, InFlight>,
     /// The names of those.
-    names: HashSet<String>,
+    names: BTreeSet<String>,
     last: RequestId,
     alarms: BinaryHeap<Reverse<(Instant, u64)>>,
     /// Names of the backends by the number that stands for each.
-    uids: HashMap<ServerId, String>,
+    uids: BTreeMap<ServerId, String>,
 }
 
-pub struct Door {
-    clock: Clock,
+pub struct Door<C: Clock, N: Network> {
+    clock: ModuleClock<C>,
     zones: Vec<String>,
-    backends: Rc<Backends>,
+    backends: Rc<Backends<C, N>>,
     inner: RefCell<Inner>,
     sooner: Notify,
 }
 
-impl Door {
+impl<C: Clock, N: Network> Door<C, N> {
     pub fn new(
+        clock: C,
         settings: Settings,
         seed: u64,
         zones: Vec<String>,
-        backends: Rc<Backends>,
-    ) -> Result<Rc<Door>, InvalidSetting> {
-        let clock = Clock::new();
+        backends: Rc<Backends<C, N>>,
+    ) -> Result<Rc<Door<C, N>>, InvalidSetting> {
+        let clock = ModuleClock::new(clock);
         let inner = Inner {
             gateway: Gateway::new(settings, seed, clock.now())?,
-            requests: HashMap::new(),
-            names: HashSet::new(),
+            requests: BTreeMap::new(),
+            names: BTreeSet::new(),
             last: 0,
             alarms: BinaryHeap::new(),
-            uids: HashMap::new(),
+            uids: BTreeMap::new(),
         };
         Ok(Rc::new(Door { clock, zones, backends, inner: RefCell::new(inner), sooner: Notify::new() }))
     }
 
     /// Takes a request in; `expires_in` and the id are filled in here. Guards against a second effect:
-    /// `None` if one of the same name is in hand, until the last of its attempts has ended.
+    /// `None` if one of the same name is in flight, until the last of its attempts has ended.
     pub fn admit(
         self: &Rc<Self>,
         mut request: Request,
         name: String,
         message: Message,
         deadline: Instant,
-    ) -> Option<Ticket> {
+    ) -> Option<Ticket<C, N>> {
         let (answer, receiver) = oneshot::channel();
         let mut inner = self.inner.borrow_mut();
         if !inner.names.insert(name.clone()) {
             return None;
         }
         inner.last += 1;
+        if mutant!(CeilingUnshared) {
+            request.spread = 1;
+        }
         request.id = inner.last;
-        request.expires_in = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
+        request.expires_in =
+            deadline.saturating_duration_since(self.clock.clock.now()).as_secs_f64() * 1000.0;
         let message = Rc::new(message);
-        let hand = InHand { name, message, deadline, answer: Some(answer), attempts: Vec::new() };
-        inner.requests.insert(request.id, hand);
+        let flight = InFlight { name, message, deadline, answer: Some(answer), attempts: Vec::new() };
+        inner.requests.insert(request.id, flight);
         drop(inner);
         self.handle(Event::Request(request));
         Some(Ticket { door: self.clone(), id: request.id, answer: receiver })
     }
 
-    /// Fails all that is still in hand, as the program has to end.
+    /// How many requests await their answer or the end of an attempt.
+    pub fn in_flight(&self) -> usize {
+        let inner = self.inner.borrow();
+        inner.requests.len().max(inner.names.len())
+    }
+
+    /// Fails all that is still in flight, as the program has to end.
     pub fn fail_all(self: &Rc<Self>) {
         let answers: Vec<_> =
-            self.inner.borrow_mut().requests.values_mut().filter_map(|hand| hand.answer.take()).collect();
+            self.inner.borrow_mut().requests.values_mut().filter_map(|flight| flight.answer.take()).collect();
         for answer in answers {
             let _ = answer.send(Answer::Failed);
         }
@@ -171,7 +185,8 @@
                 State::Ready | State::Draining | State::Unknown => Lifecycle::Draining,
                 State::Gone => Lifecycle::Gone,
             },
-            launched: (target.boot_ms > 0.0).then(|| self.clock.of_unix(target.boot_ms)),
+            launched: (target.boot_ms > 0.0 && !mutant!(ColdIgnored))
+                .then(|| self.clock.of_unix(target.boot_ms)),
         }
     }
 
@@ -198,8 +213,10 @@
             let next = self.inner.borrow().alarms.peek().map(|Reverse((at, _))| *at);
             match next {
                 None => self.sooner.notified().await,
-                Some(at) if at > Instant::now() => tokio::select! {
-                    () = sleep_until(at) => {}
+                Some(_) if mutant!(Spin) => tokio::task::yield_now().await,
+                Some(at) if at > self.clock.clock.now() => tokio::select! {
+                    biased;
+                    () = self.clock.clock.sleep_until(at) => {}
                     () = self.sooner.notified() => {}
                 },
                 Some(_) => {
@@ -221,25 +238,31 @@
         }
     }
 
-    /// What an action names and is no longer in hand was answered meanwhile: it is passed over.
+    /// What an action names and is no longer in flight was answered meanwhile: it is passed over.
     fn carry_out(self: &Rc<Self>, inner: &mut Inner, action: Action) {
         match action {
             Action::Send { request, server, expire_at } => {
-                let Some(hand) = inner.requests.get_mut(&request) else { return };
+                let Some(flight) = inner.requests.get_mut(&request) else { return };
                 let expire_at =
-                    expire_at.map_or(hand.deadline, |at| self.clock.instant(at).min(hand.deadline));
+                    expire_at.map_or(flight.deadline, |at| self.clock.instant(at).min(flight.deadline));
                 let (cancel, cancelled) = oneshot::channel();
-                let number = hand.attempts.len() as u8;
-                hand.attempts.push(Some(cancel));
-                let attempt =
-                    self.clone().attempt(request, number, server, hand.message.clone(), expire_at, cancelled);
+                let number = flight.attempts.len() as u8;
+                flight.attempts.push(Some(cancel));
+                let attempt = self.clone().attempt(
+                    request,
+                    number,
+                    server,
+                    flight.message.clone(),
+                    expire_at,
+                    cancelled,
+                );
                 tokio::task::spawn_local(attempt);
             }
             Action::Refuse { request, retry_after } => inner.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => inner.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
-                let hand = inner.requests.get_mut(&request);
-                let attempt = hand.and_then(|hand| hand.attempts.get_mut(usize::from(attempt))?.take());
+                let flight = inner.requests.get_mut(&request);
+                let attempt = flight.and_then(|flight| flight.attempts.get_mut(usize::from(attempt))?.take());
                 if let Some(cancel) = attempt {
                     let _ = cancel.send(());
                 }
@@ -267,7 +290,8 @@
         cancelled: oneshot::Receiver<()>,
     ) {
         let sent = self.clock.now();
-        let wanted = || self.inner.borrow().requests.get(&request).is_some_and(|hand| hand.answer.is_some());
+        let wanted =
+            || self.inner.borrow().requests.get(&request).is_some_and(|flight| flight.answer.is_some());
         // A sender that is dropped without a word cancels nothing.
         let cancel = async {
             if cancelled.await.is_err() {
@@ -277,13 +301,17 @@
         let End { outcome, used, answer } =
             self.backends.attempt(server, &message, expire_at, cancel, wanted).await;
         let mut inner = self.inner.borrow_mut();
+        if mutant!(LeakInFlight) && inner.requests.get(&request).is_some_and(|flight| flight.answer.is_none())
+        {
+            return;
+        }
         if let Some(answer) = answer {
             inner.answer(request, Answer::Served(answer));
         }
         let mut finished = true;
-        if let Some(hand) = inner.requests.get_mut(&request) {
-            hand.attempts[usize::from(attempt)] = None;
-            finished = hand.answer.is_none();
+        if let Some(flight) = inner.requests.get_mut(&request) {
+            flight.attempts[usize::from(attempt)] = None;
+            finished = flight.answer.is_none();
         }
         inner.forget_if_over(request);
         drop(inner);
@@ -292,49 +320,56 @@
     }
 }
 
+impl<C: Clock, N: Network> ListReader for Rc<Door<C, N>> {
+    fn take(&self, kind: ListKind, list: List) {
+        self.servers(kind, list);
+    }
+}
+
 impl Inner {
     /// Passes the final answer on, unless there was one before.
     fn answer(&mut self, request: RequestId, answer: Answer) {
-        let Some(hand) = self.requests.get_mut(&request) else { return };
-        if let Some(client) = hand.answer.take() {
+        let Some(flight) = self.requests.get_mut(&request) else { return };
+        if let Some(client) = flight.answer.take() {
             let _ = client.send(answer);
         }
         self.forget_if_over(request);
     }
 
     fn forget_if_over(&mut self, request: RequestId) {
-        let over = |hand: &InHand| hand.answer.is_none() && hand.attempts.iter().all(Option::is_none);
+        let over = |flight: &InFlight| flight.answer.is_none() && flight.attempts.iter().all(Option::is_none);
         if self.requests.get(&request).is_some_and(over) {
-            if let Some(hand) = self.requests.remove(&request) {
-                self.names.remove(&hand.name);
+            if let Some(flight) = self.requests.remove(&request) {
+                self.names.remove(&flight.name);
             }
         }
     }
 }
 
 /// A client's claim to its answer. Dropped before that has come, it tells the module that the client left.
-pub struct Ticket {
-    door: Rc<Door>,
+pub struct Ticket<C: Clock, N: Network> {
+    door: Rc<Door<C, N>>,
     id: RequestId,
     answer: oneshot::Receiver<Answer>,
 }
 
-impl Ticket {
+impl<C: Clock, N: Network> Ticket<C, N> {
     /// The final answer. Guards against a request that nothing answers: it fails at `deadline`.
     pub async fn answer(mut self, deadline: Instant) -> Answer {
+        let late = self.door.clock.clock.sleep_until(deadline);
         tokio::select! {
             biased;
             answer = &mut self.answer => answer.unwrap_or(Answer::Failed),
-            () = sleep_until(deadline) => Answer::Failed,
+            () = late => Answer::Failed,
         }
     }
 }
 
-impl Drop for Ticket {
+impl<C: Clock, N: Network> Drop for Ticket<C, N> {
     fn drop(&mut self) {
         let mut inner = self.door.inner.borrow_mut();
-        let Some(hand) = inner.requests.get_mut(&self.id) else { return };
-        if hand.answer.take().is_none() {
+        let Some(flight) = inner.requests.get_mut(&self.id) else { return };
+        if flight.answer.take().is_none() {
             return;
         }
         inner.forget_if_over(self.id);
--- /dev/null
+++ b/crates/brassport/src/lib.rs
@@ -0,0 +1,42 @@
+//! The front door that runs before a render fleet: HTTP/1.1 in, HTTP/1.1 out, with every decision left to the
+//! module of the crate `springusher`.
+//!
+//! It is a library so that the same code runs in two worlds. What it needs of a world stands behind two seams,
+//! [`clock::Clock`] and [`network::Network`]; [`front_door`] takes one of each. The program `brassport` chooses the
+//! system's; the crate `brassport-sim` a simulated world's. It is not a general proxy: it speaks the protocol of its
+//! platform, and it keeps no state beyond its process.
+//!
+//! Everything runs on one thread, within one `tokio::task::LocalSet`:
+//!
+//! ```no_run
+//! use brassport::{clock::SystemClock, config, front_door, network::Tcp};
+//! use tokio::task::LocalSet;
+//!
+//! # fn main() -> Result<(), String> {
+//! let config = config::read(config::First::Environment)?;
+//! let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+//! let (controls, control) = tokio::sync::mpsc::unbounded_channel();
+//! LocalSet::new().block_on(&runtime, front_door(config, SystemClock, Tcp, control))?;
+//! # drop(controls);
+//! # Ok(())
+//! # }
+//! ```
+#![forbid(unsafe_code)]
+
+mod backends;
+mod clients;
+pub mod clock;
+pub mod config;
+mod connection;
+mod connections;
+mod date;
+mod discovery;
+mod door;
+pub mod log;
+pub mod mutants;
+pub mod network;
+mod program;
+mod revisions;
+mod shutdown;
+
+pub use program::{front_door, Control, Inspection};
--- a/crates/brassport/src/log.rs
+++ b/crates/brassport/src/log.rs
@@ -1,4 +1,4 @@
-//! The log, on standard error. Guards against a reader that is slow or gone: a thread of its own writes, and
+//! The log, on standard error once [`to_standard_error`] was called, else nowhere. Guards against a reader that is slow or gone: a thread of its own writes, and
 //! what it can't take in time, or what comes too fast, is left out.
 
 use std::io::{self, Write};
@@ -11,10 +11,16 @@
 const WAITING: usize = 32;
 const MOST: u32 = 20;
 
+static WRITER: OnceLock<Option<SyncSender<String>>> = OnceLock::new();
+
+/// Starts the writer. A host that wants no thread beside its own leaves this out.
+pub fn to_standard_error() {
+    WRITER.get_or_init(start);
+}
+
 /// Writes one line, if there is room for it.
 pub fn line(text: String) {
-    static WRITER: OnceLock<Option<SyncSender<String>>> = OnceLock::new();
-    if let Some(writer) = WRITER.get_or_init(start) {
+    if let Some(Some(writer)) = WRITER.get() {
         let _ = writer.try_send(text);
     }
 }
--- /dev/null
+++ b/crates/brassport/src/program.rs
@@ -0,0 +1,139 @@
+//! The whole front door: wiring, planned end, reload. Which clock, network and signals it runs on is its host's
+//! choice.
+
+use crate::backends::Backends;
+use crate::clients::{self, Context};
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::connections::Connections;
+use crate::date::DateHeader;
+use crate::discovery::Watch;
+use crate::door::Door;
+use crate::log;
+use crate::mutants::mutant;
+use crate::network::Network;
+use crate::shutdown::{Phase, Shutdown};
+use springusher::ListKind;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::task::spawn_local;
+
+/// Descriptors that are neither a client's nor a backend's: streams, event queue, listener, discovery.
+const OWN_DESCRIPTORS: usize = 32;
+/// The part of the memory that the bodies of clients may take all together.
+const BODIES_PART: usize = 8;
+/// After SIGTERM clients still come for up to 0.4 s; the listener stays open for longer than that. What is
+/// in hand then may take as long as a client waits, 3 s at the most, before it fails, and such failures so
+/// long to be written: with what came last, the end is due before SIGKILL, 0.7 s after the longest wait.
+const LEAVING: Duration = Duration::from_millis(600);
+const CLOSING: Duration = Duration::from_millis(3000);
+const LAST_WORDS: Duration = Duration::from_millis(100);
+
+/// What a front door is told while it runs.
+pub enum Control {
+    /// End in order, as on SIGTERM.
+    Terminate,
+    /// Say what is held now.
+    Inspect(Box<dyn FnOnce(Inspection)>),
+    /// The configuration was read anew, as on SIGHUP, with what was wrong with it if it was.
+    Reload(Box<Result<Config, String>>),
+}
+
+/// What a front door holds at a moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Inspection {
+    /// Requests that await their answer or the end of an attempt.
+    pub in_flight: usize,
+    /// Connections of clients.
+    pub client_connections: usize,
+    /// Descriptors taken by connections of clients and to nodes, and one that is kept for the next client.
+    pub descriptors_taken: usize,
+    /// Bytes that the bodies in flight may take.
+    pub body_bytes: usize,
+}
+
+/// Runs a front door on this clock and network until it is told to end. Must be polled within a
+/// `tokio::task::LocalSet`; dropping that ends all of its tasks.
+///
+/// # Errors
+/// One plain line, if it cannot start.
+pub async fn front_door<C: Clock, N: Network>(
+    config: Config,
+    clock: C,
+    network: N,
+    mut control: mpsc::UnboundedReceiver<Control>,
+) -> Result<(), String> {
+    let spare = config.sockets.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
+    let spare = spare.ok_or_else(|| format!("limits.sockets: {} are too few", config.sockets))?;
+    let spare = spare.min(Semaphore::MAX_PERMITS);
+    let spare = if mutant!(IgnoreDescriptorLimit) { 10 * spare } else { spare };
+    let descriptors = Arc::new(Semaphore::new(spare));
+    let most_bodies = (config.memory / BODIES_PART).min(Semaphore::MAX_PERMITS);
+    let listener = network
+        .listen(config.listen)
+        .await
+        .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+
+    let longest = config.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+    let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
+
+    let backends = Rc::new(Backends::new(
+        clock.clone(),
+        network.clone(),
+        descriptors.clone(),
+        config.connect_timeout,
+        config.idle_timeout,
+    ));
+    let zones = config.names.zones.clone();
+    let door = Door::new(clock.clone(), config.settings.clone(), config.seed, zones, backends.clone())
+        .map_err(|error| error.to_string())?;
+    door.servers(ListKind::Cached, config.known);
+    spawn_local(door.clone().keep_time());
+    let (discovery, seen) = watch::channel(config.discovery);
+    spawn_local(Watch { clock: clock.clone(), network, reader: door.clone() }.follow(seen));
+    let sweeper = backends.clone();
+    spawn_local(async move { sweeper.sweep().await });
+
+    let shutdown = Rc::new(Shutdown::default());
+    let context = Rc::new(Context {
+        clock: clock.clone(),
+        door: door.clone(),
+        backends,
+        names: config.names,
+        settings: config.settings,
+        shutdown: shutdown.clone(),
+        date: DateHeader::default(),
+        connections: Rc::new(Connections::new(clock.clone())),
+        bodies: Semaphore::new(most_bodies),
+    });
+    let mut serving = spawn_local(clients::serve(listener, context.clone(), descriptors.clone()));
+
+    while let Some(told) = control.recv().await {
+        match told {
+            Control::Terminate => break,
+            Control::Inspect(say) => say(Inspection {
+                in_flight: door.in_flight(),
+                client_connections: context.connections.count(),
+                descriptors_taken: spare - descriptors.available_permits(),
+                body_bytes: most_bodies - context.bodies.available_permits(),
+            }),
+            Control::Reload(config) => match *config {
+                Ok(config) => drop(discovery.send_replace(config.discovery)),
+                // Guards against half a file: what is in force stays so.
+                Err(problem) => log::line(format!("not reloaded: {problem}")),
+            },
+        }
+    }
+    shutdown.advance(Phase::Leaving);
+    clock.sleep(LEAVING).await;
+    shutdown.advance(Phase::Closing);
+    if clock.timeout(closing.saturating_sub(LAST_WORDS), &mut serving).await.is_none() {
+        if !mutant!(NoFailAtEnd) {
+            door.fail_all();
+        }
+        let _ = clock.timeout(LAST_WORDS, &mut serving).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/brassport/src/shutdown.rs
@@ -0,0 +1,53 @@
+//! How far a planned end has come, for every task that has to know.
+
+use std::cell::Cell;
+use tokio::sync::Notify;
+
+/// How far a shutdown has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Clients are served.
+    Serving,
+    /// Clients still come; each answer closes its connection.
+    Leaving,
+    /// No more are accepted, and idle connections are closed.
+    Closing,
+}
+
+/// The phase that the program is in. Tasks that wait are woken in the order in which they began to wait: a
+/// `tokio::sync::watch` wakes them in an order drawn by chance, which no simulation could replay.
+#[derive(Debug)]
+pub struct Shutdown {
+    phase: Cell<Phase>,
+    changed: Notify,
+}
+
+impl Default for Shutdown {
+    fn default() -> Shutdown {
+        Shutdown { phase: Cell::new(Phase::Serving), changed: Notify::new() }
+    }
+}
+
+impl Shutdown {
+    /// The phase now.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Goes on to a phase; never back.
+    pub fn advance(&self, phase: Phase) {
+        self.phase.set(self.phase.get().max(phase));
+        self.changed.notify_waiters();
+    }
+
+    /// Ready once the phase is [`Phase::Closing`].
+    pub async fn closing(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.phase.get() == Phase::Closing {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
