--- a/crates/brassport-sim/src/door.rs
+++ b/crates/brassport-sim/src/door.rs
@@ -55,10 +55,10 @@
     static QUIET: Cell<bool> = const { Cell::new(false) };
 }
 
-/// Makes panics of simulated programs failures of their run rather than noise on standard error.
+/// Makes panics of simulated programs failures of their run rather than noise on standard error; those of anyone
+/// else on the same thread are told as usual.
 pub fn catch_panics() {
     static ONCE: std::sync::Once = std::sync::Once::new();
-    QUIET.set(true);
     ONCE.call_once(|| {
         let usual = std::panic::take_hook();
         std::panic::set_hook(Box::new(move |panic| {
@@ -109,9 +109,11 @@
                 return Turn::Spins;
             }
             let mut context = Context::from_waker(&self.waker);
+            QUIET.set(true);
             let polled = catch_unwind(AssertUnwindSafe(|| {
                 std::future::Future::poll(Pin::new(&mut self.tasks), &mut context)
             }));
+            QUIET.set(false);
             let said = PANIC.take();
             if polled.is_err() || said.is_some() {
                 return Turn::Panicked(said.unwrap_or_else(|| "a panic without a word".into()));
--- a/crates/brassport-sim/src/kernel.rs
+++ b/crates/brassport-sim/src/kernel.rs
@@ -425,6 +425,14 @@
         (inner.conns[conn.0].hosts, inner.conns[conn.0].to)
     }
 
+    /// Whether a connection was cut so that nothing passes and nobody is told.
+    pub fn is_silent(&self, conn: ConnId) -> bool {
+        let inner = self.0.borrow();
+        let conn = &inner.conns[conn.0];
+        let cut = |side: &Side| side.cut.is_some_and(|(after, how)| how == Cut::Silent && side.sent >= after);
+        conn.silent || conn.sides.iter().any(cut)
+    }
+
     /// How many connections a host's processes hold.
     pub fn sockets(&self, host: Host) -> usize {
         self.0.borrow().machines.get(&host).map_or(0, |machine| machine.sockets)
--- /dev/null
+++ b/crates/brassport-sim/tests/mutants.rs
@@ -0,0 +1,89 @@
+//! The oracle can fail: every deliberate fault of the front door breaks a rule within 500 seeds.
+#![cfg(feature = "mutants")]
+
+use brassport::mutants::{activate, Mutant};
+use brassport_sim::oracle::Rule;
+use brassport_sim::scenario::Scenario;
+use brassport_sim::{campaign, play, shrink};
+use std::sync::atomic::{AtomicBool, Ordering};
+
+const MOST: u64 = 500;
+
+/// The rules by which each one may be found.
+fn rules(mutant: Mutant) -> &'static [Rule] {
+    match mutant {
+        Mutant::RetryAfterReset | Mutant::ErrorNeverRan | Mutant::RefuseAfterMayHaveRun => &[Rule::Effect],
+        Mutant::KeepTimedOutAttempt => &[Rule::Effect, Rule::Leak],
+        Mutant::DrainLate | Mutant::StaleListTaken => &[Rule::Drain],
+        Mutant::AnswerTwice
+        | Mutant::ForgetDeadline
+        | Mutant::ReleaseHalfRead
+        | Mutant::SendBehindAnswer
+        | Mutant::CloseWithoutAnswer
+        | Mutant::NoFailAtEnd => &[Rule::Answer],
+        Mutant::IgnoreDescriptorLimit | Mutant::IgnoreReserve => &[Rule::Descriptors],
+        Mutant::LeakInFlight | Mutant::LeakDescriptor | Mutant::LeakBody => &[Rule::Leak],
+        Mutant::ColdIgnored => &[Rule::Cold],
+        Mutant::CeilingUnshared => &[Rule::Ceiling],
+        Mutant::Spin => &[Rule::Spin],
+        Mutant::PanicOnMeter => &[Rule::Crash],
+    }
+}
+
+/// The first seed that breaks a rule, and which.
+fn first_failure(mutant: Mutant) -> Option<(u64, Rule)> {
+    // In batches, so that the wait is short for those that are found at once.
+    (0..MOST).step_by(50).find_map(|from| {
+        let batch = from..(from + 50).min(MOST);
+        let result = campaign::run(batch, 2, &|| activate(Some(mutant)), |_, _| {});
+        result.failures.first().and_then(|(seed, report)| Some((*seed, report.violation.as_ref()?.rule)))
+    })
+}
+
+#[test]
+fn every_mutant_is_found_by_its_rule() {
+    let missed = AtomicBool::new(false);
+    for mutant in Mutant::ALL {
+        let found = first_failure(mutant);
+        match found {
+            Some((seed, rule)) => println!("| `{mutant:?}` | {rule} | {} |", seed + 1),
+            None => println!("| `{mutant:?}` | missed | more than {MOST} |"),
+        }
+        if !found.is_some_and(|(_, rule)| rules(mutant).contains(&rule)) {
+            missed.store(true, Ordering::Relaxed);
+            eprintln!("{mutant:?}: {found:?}, {:?} wanted", rules(mutant));
+        }
+    }
+    assert!(!missed.into_inner(), "a mutant was missed, or found by another rule");
+}
+
+#[test]
+fn a_failing_seed_replays_identically_a_hundred_times() {
+    let (seed, _) = first_failure(Mutant::RetryAfterReset).expect("it is found");
+    activate(Some(Mutant::RetryAfterReset));
+    let scenario = Scenario::draw(seed);
+    let first = play(&scenario);
+    for _ in 0..100 {
+        let again = play(&scenario);
+        assert_eq!((again.digest, &again.violation), (first.digest, &first.violation), "seed {seed}");
+    }
+    activate(None);
+}
+
+#[test]
+fn shrinking_keeps_the_rule_and_drops_the_rest() {
+    let (seed, rule) = first_failure(Mutant::RetryAfterReset).expect("it is found");
+    activate(Some(Mutant::RetryAfterReset));
+    let scenario = Scenario::draw(seed);
+    let (smallest, violation, _) = shrink::shrink(&scenario).expect("it fails");
+    assert_eq!(violation.rule, rule);
+    assert!(
+        smallest.requests.len() < scenario.requests.len() / 4,
+        "{} requests are left",
+        smallest.requests.len()
+    );
+    assert!(smallest.faults.len() <= 2, "seed {seed}: {:?}", smallest.faults);
+    let again = Scenario::parse(&smallest.to_text()).expect("what it prints can be read");
+    assert_eq!(play(&again).violation, Some(violation));
+    activate(None);
+}
--- a/crates/brassport/src/mutants.rs
+++ b/crates/brassport/src/mutants.rs
@@ -1,5 +1,5 @@
 //! Deliberate faults of the front door, to show that the simulation's oracle can fail. Compiled only with the
-//! feature `mutants`, which no program of the release has; without it [`mutant!`] is the constant `false`.
+//! feature `mutants`, which no program of the release has; without it `mutant!` is the constant `false`.
 
 #[cfg(feature = "mutants")]
 use std::cell::Cell;
