Keep a node's own Date header, and a name that clippy takes for an iterator's

Need: the Date header from the clock's seam replaced one that a node had set, where hyper used to leave it; and Random::next fails the lints now that the module is public. Change: a date is added only where there is none; the method is called number. Result: the test of an answer passed on unchanged holds a node's date now, and wants one where it set none.

--- a/crates/brassport-sim/src/kernel.rs
+++ b/crates/brassport-sim/src/kernel.rs
@@ -587,7 +587,7 @@
         let tie = match self.ties {
             Ties::First => 0,
             Ties::Last => u64::MAX - self.sequence,
-            Ties::Drawn => self.random.next(),
+            Ties::Drawn => self.random.number(),
         };
         self.queue.push(Reverse(Queued { key: (at.max(self.now), tie, self.sequence), what }));
     }
--- a/crates/brassport-sim/src/random.rs
+++ b/crates/brassport-sim/src/random.rs
@@ -14,7 +14,7 @@
     }
 
     /// Any number.
-    pub fn next(&mut self) -> u64 {
+    pub fn number(&mut self) -> u64 {
         self.0.rand_u64()
     }
 
--- a/crates/brassport/src/clients.rs
+++ b/crates/brassport/src/clients.rs
@@ -157,7 +157,10 @@
             if last {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
-            response.headers_mut().insert(header::DATE, context.date.value(context.clock.unix()));
+            // The date is that of who made the answer (RFC 9110, section 6.6.1).
+            if !response.headers().contains_key(header::DATE) {
+                response.headers_mut().insert(header::DATE, context.date.value(context.clock.unix()));
+            }
             Ok::<_, Infallible>(response)
         }
     });
--- a/crates/brassport/tests/front_door.rs
+++ b/crates/brassport/tests/front_door.rs
@@ -388,17 +388,22 @@
     let wait = exchange.request.header("x-deadline").strip_suffix('u').expect("microseconds");
     assert!((1..4_000_000).contains(&wait.parse().expect("a number")), "waits {wait} us");
     let port = exchange.stream.peer_addr().expect("a peer").port();
-    exchange.answer("200 OK", "Usage-Percent: 40\r\nContent-Type: image/png\r\n", "frame");
+    let date = "Sun, 06 Nov 1994 08:49:37 GMT";
+    let headers = format!("Usage-Percent: 40\r\nContent-Type: image/png\r\nDate: {date}\r\n");
+    exchange.answer("200 OK", &headers, "frame");
     let answer = client.read();
     assert_eq!((answer.status(), answer.body.as_slice()), (200, b"frame".as_slice()));
     assert_eq!(answer.header("content-type"), "image/png");
+    assert_eq!(answer.header("date"), date, "it is that of who made the answer");
     assert_eq!(answer.header("usage-percent"), "", "the meter's figure is for the front door alone");
 
     client.send(&get("/x"));
     let exchange = backend.next();
     assert_eq!(exchange.stream.peer_addr().expect("a peer").port(), port, "the connection is used again");
     exchange.ok("again");
-    assert_eq!(client.read().body, b"again");
+    let answer = client.read();
+    assert_eq!(answer.body, b"again");
+    assert!(answer.header("date").ends_with(" GMT"), "one without a date gets one");
 }
 
 #[test]
