--- a/crates/springusher/src/control.rs
+++ b/crates/springusher/src/control.rs
@@ -1,4 +1,4 @@
-//! All decisions. The types, events and actions that this module speaks in are in `crates/springusher/src/interface.rs`.
+//! All decisions. The types, events and actions that this module speaks in are in `interface.rs`.
 //!
 //! Admission follows the random refusal of "Stochastic breakdown model for an unreliable web server
 //! system": each gateway refuses a customer's requests with chance 1 - quota / offered, where the offered
