Add the appliance's durable state, and hooks on a request's life in the door

Need: the small-site appliance has to keep its node list, drains, plans and history through power cuts, and its console has to see requests. The door had no point to look on from, and only took its list from discovery.

Change: crates/brassport-state, an I/O-free model (changes whole or refused, idempotent by id, conflicts by revision) and a store on redb behind a seam of file operations: two-phase commits, checksums of every page checked at each open, files made under another name, synced, renamed, directory synced. In the front door: hooks at the named points of a request's life, a list told by the host instead of discovery, a meter of its own for a site with one door, and stand-ins for headers that a request lacks. All are off on the platform.

With one-phase commits a flipped bit in the last change undid it silently, hence two phases. Single bits flipped in 1,600 places: the same state, or named as damaged with the file untouched.

--- /dev/null
+++ b/crates/brassport-state/src/lib.rs
@@ -0,0 +1,44 @@
+//! The durable state of the small-site appliance: its list of nodes, drains in progress, the plans of studios, the
+//! history of changes, and the unsafe requests that were in hand when the power went.
+//!
+//! - [`model`] is the core, without I/O: what a change does to a state, and which changes are refused.
+//! - [`store`] keeps a state in one file: each change is applied whole or not at all, and acknowledged once durable.
+//! - [`files`] is the seam to the directory that the file lies in; tests put a disk that loses power behind it.
+//!
+//! It is not a general database, knows nothing of HTTP, and decides nothing about requests.
+//!
+//! ```
+//! use brassport_state::files::Directory;
+//! use brassport_state::model::{Action, Change, Lifecycle};
+//! use brassport_state::store::Store;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! # let place = std::env::temp_dir().join(format!("brassport-state-doc-{}", std::process::id()));
+//! # std::fs::create_dir_all(&place)?;
+//! let directory = Directory::open(&place)?;
+//! Store::create(&directory, "state.redb")?;
+//! let mut store = Store::open(&directory, "state.redb")?;
+//! let node = Action::AddNode {
+//!     name: "loft-1".into(),
+//!     endpoint: "127.0.0.1:9001".parse()?,
+//!     zone: String::new(),
+//!     group: 0,
+//!     size: 1.0,
+//!     warm: false,
+//! };
+//! let change = Change { id: "first".into(), who: "asha".into(), at_ms: 1, seen: None, action: node };
+//! // Durable when this returns; sent twice under one id, it is done once.
+//! let done = store.apply(change.clone())?;
+//! assert_eq!(store.apply(change)?.revision, done.revision);
+//! assert_eq!(store.state().nodes["loft-1"].lifecycle, Lifecycle::Ready);
+//! # drop(store);
+//! # std::fs::remove_dir_all(&place)?;
+//! # Ok(())
+//! # }
+//! ```
+#![forbid(unsafe_code)]
+
+pub mod files;
+pub mod model;
+pub mod mutants;
+pub mod store;
--- /dev/null
+++ b/crates/brassport-state/tests/power_cuts.rs
@@ -0,0 +1,195 @@
+//! What a restart finds behind a power cut, a disk that fails, and a file that is damaged.
+
+mod common;
+
+use brassport_state::files::Files;
+use brassport_state::model::{Action, Change, Lifecycle};
+use brassport_state::store::{Batch, ChangeError, Store, StoreError};
+use common::{play, play_files, play_flips, whole, Disk, Fault, Tally, FILE};
+use std::io::ErrorKind;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+fn add(id: &str, name: &str) -> Change {
+    let endpoint = "127.0.0.1:9000".parse().expect("an address");
+    let action =
+        Action::AddNode { name: name.into(), endpoint, zone: String::new(), group: 0, size: 1.0, warm: true };
+    Change { id: id.into(), who: "test".into(), at_ms: 0, seen: None, action }
+}
+
+fn drain(id: &str, name: &str) -> Change {
+    Change { action: Action::DrainNode { name: name.into() }, ..add(id, name) }
+}
+
+fn with_one_node() -> Disk {
+    let disk = Disk::default();
+    Store::create(&disk, FILE).expect("a new state");
+    Store::open(&disk, FILE).expect("it opens").apply(add("1", "a")).expect("a sound change");
+    disk
+}
+
+#[test]
+fn every_cut_of_500_histories_leaves_the_old_state_or_the_new_one() {
+    const SEEDS: u64 = 500;
+    let next = AtomicU64::new(0);
+    let work = || {
+        let mut tally = Tally::default();
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= SEEDS {
+                return tally;
+            }
+            play(seed, &mut tally).unwrap_or_else(|problem| panic!("{problem}"));
+        }
+    };
+    let tally = thread::scope(|scope| {
+        let workers: Vec<_> = (0..4).map(|_| scope.spawn(work)).collect();
+        workers
+            .into_iter()
+            .map(|worker| worker.join().expect("no violation"))
+            .fold(Tally::default(), Tally::and)
+    });
+    println!("{tally:?}");
+    assert_eq!(tally.histories, SEEDS);
+    assert!(tally.recovered_old > 1000 && tally.recovered_new > 1000, "{tally:?}");
+}
+
+#[test]
+fn a_file_is_made_whole_or_not_at_all() {
+    let mut tally = Tally::default();
+    for seed in 0..50 {
+        play_files(seed, &mut tally).unwrap_or_else(|problem| panic!("{problem}"));
+    }
+    assert!(tally.cuts > 500, "{tally:?}");
+}
+
+#[test]
+fn a_flipped_bit_is_told_and_changes_nothing() {
+    let damaged: u64 =
+        (0..4).map(|seed| play_flips(seed, 400).unwrap_or_else(|problem| panic!("{problem}"))).sum();
+    // The others hit pages that nothing points to.
+    assert!(damaged > 100, "{damaged} of 1600 flips were found");
+}
+
+#[test]
+fn behind_a_failed_operation_nothing_counts_as_durable_until_a_restart() {
+    let rest = with_one_node();
+    let life = |disk: &Disk| -> Result<Store, StoreError> { Store::open(disk, FILE) };
+    let trial = rest.copy();
+    let mut store = life(&trial).expect("it opens");
+    let first = trial.operations();
+    store.apply(drain("2", "a")).expect("a sound change");
+    let last = trial.operations();
+    assert!(last > first + 2);
+    for kind in [ErrorKind::Other, ErrorKind::StorageFull, ErrorKind::ReadOnlyFilesystem] {
+        for at in first..last {
+            let disk = rest.copy();
+            let mut store = life(&disk).expect("it opens");
+            disk.arm(at, Fault::Error(kind));
+            let refused = store.apply(drain("2", "a"));
+            assert!(
+                matches!(refused, Err(ChangeError::Store(StoreError::Io { .. }))),
+                "{kind:?} {at} {refused:?}"
+            );
+            // The disk works again, and still nothing is taken.
+            let again = store.apply(drain("3", "a"));
+            assert!(
+                matches!(again, Err(ChangeError::Store(StoreError::Broken { .. }))),
+                "{kind:?} {at} {again:?}"
+            );
+            assert!(store.broken().is_some());
+            assert_eq!(store.state().nodes["a"].lifecycle, Lifecycle::Ready, "the list is as it was");
+            drop(store);
+            // A restart has the one or the other, and makes a change that is sent again at most once.
+            let mut store = life(&disk).unwrap_or_else(|error| panic!("{kind:?} {at}: {error}"));
+            store.apply(drain("2", "a")).expect("a sound change");
+            assert_eq!(store.state().revision, 2);
+        }
+    }
+}
+
+#[test]
+fn a_file_that_is_wrong_is_named_with_the_way_out() {
+    let told = |disk: &Disk| Store::open(disk, FILE).expect_err("it is wrong").to_string();
+    assert!(told(&Disk::default()).contains("`init`"));
+    let disk = Disk::default();
+    disk.put(FILE, Vec::new());
+    assert!(told(&disk).contains("is empty"));
+    assert_eq!(disk.bytes(FILE), b"", "it is left as it is");
+    disk.put(FILE, b"not a state at all".repeat(1000));
+    assert!(told(&disk).contains("is damaged"));
+    let sound = with_one_node();
+    let mut bytes = sound.bytes(FILE);
+    bytes.truncate(bytes.len() / 2);
+    disk.put(FILE, bytes);
+    assert!(told(&disk).contains("is damaged"));
+    assert!(matches!(Store::create(&sound, FILE), Err(StoreError::Exists { .. })));
+    assert_eq!(Store::open(&sound, FILE).expect("it opens").state().nodes.len(), 1);
+}
+
+#[test]
+fn a_file_of_a_newer_version_is_left_alone() {
+    let disk = Disk::default();
+    let database =
+        redb::Builder::new().create_with_backend(disk.create(FILE).expect("a file")).expect("made");
+    let transaction = database.begin_write().expect("begun");
+    let facts: redb::TableDefinition<&str, u64> = redb::TableDefinition::new("facts");
+    transaction.open_table(facts).expect("a table").insert("format", 2).expect("inserted");
+    transaction.commit().expect("committed");
+    drop(database);
+    let refused = Store::open(&disk, FILE).expect_err("too new");
+    assert!(matches!(refused, StoreError::Newer { format: 2, .. }), "{refused}");
+}
+
+#[test]
+fn a_change_sent_twice_is_made_once_and_its_id_names_no_other() {
+    let disk = with_one_node();
+    let mut store = Store::open(&disk, FILE).expect("it opens");
+    let done = store.apply(drain("2", "a")).expect("made");
+    drop(store);
+    let mut store = Store::open(&disk, FILE).expect("it opens");
+    let again = store.apply(drain("2", "a")).expect("made before");
+    assert_eq!((done.revision, done.repeated, again.revision, again.repeated), (2, false, 2, true));
+    assert!(
+        matches!(store.apply(drain("2", "b")), Err(ChangeError::Refused(refusal)) if refusal.code() == "id_used")
+    );
+    assert_eq!(store.history(u64::MAX, 10).expect("it reads").len(), 2);
+}
+
+#[test]
+fn the_history_keeps_its_order_when_the_wall_clock_goes_back_by_a_day() {
+    let disk = with_one_node();
+    let mut store = Store::open(&disk, FILE).expect("it opens");
+    let day = 86_400_000;
+    store.apply(Change { at_ms: 2 * day, ..drain("2", "a") }).expect("made");
+    store.apply(Change { at_ms: day, ..add("3", "b") }).expect("made");
+    let history = store.history(u64::MAX, 10).expect("it reads");
+    let seen: Vec<_> = history.iter().map(|entry| (entry.revision, entry.clock_set_back)).collect();
+    assert_eq!(seen, [(3, true), (2, false), (1, false)]);
+    assert_eq!(store.history(3, 1).expect("it reads")[0].revision, 2);
+}
+
+#[test]
+fn requests_in_hand_at_the_cut_are_known_until_they_are_cleared() {
+    let disk = with_one_node();
+    let mut store = Store::open(&disk, FILE).expect("it opens");
+    let sent = |request: &str| brassport_state::store::Sent {
+        request: request.into(),
+        class: "job-submit".into(),
+        studio: 7,
+        node: "a".into(),
+        at_ms: 1,
+    };
+    store.write(&Batch { sending: vec![sent("r1"), sent("r2")], ..Batch::default() }).expect("written");
+    store.write(&Batch { ended: vec!["r1".into()], ..Batch::default() }).expect("written");
+    drop(store);
+    let mut store = Store::open(&disk, FILE).expect("it opens");
+    let unfinished = store.unfinished().expect("it reads");
+    assert_eq!(unfinished.iter().map(|(_, sent)| sent.request.as_str()).collect::<Vec<_>>(), ["r2"]);
+    assert_eq!(store.unfinished_count(), 1);
+    store.write(&Batch { clear_unfinished: Some(unfinished[0].0), ..Batch::default() }).expect("written");
+    assert_eq!(store.unfinished_count(), 0);
+    let copy = Disk::default();
+    store.copy_to(&copy, FILE).expect("copied");
+    assert_eq!(whole(&Store::open(&copy, FILE).expect("it opens")), whole(&store));
+}
--- a/crates/brassport/src/clients.rs
+++ b/crates/brassport/src/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::backends::{Backends, Message, BODY_LIMIT};
 use crate::clock::Clock;
-use crate::config::Names;
+use crate::config::{Assumed, Names};
 use crate::connections::{ClientConnection, Connections, Stage, Wire};
 use crate::date::DateHeader;
 use crate::door::{Answer, Door};
@@ -69,6 +69,7 @@
     pub door: Rc<Door<C, N>>,
     pub backends: Rc<Backends<C, N>>,
     pub names: Names,
+    pub assumed: Option<Assumed>,
     pub settings: Settings,
     pub shutdown: Rc<Shutdown>,
     pub date: DateHeader,
@@ -303,23 +304,40 @@
         return Err("a header stands there twice");
     }
     let field = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
-    let id = field("x-request-id").filter(|id| (1..=ID_LIMIT).contains(&id.len()));
-    let id = id.filter(|id| id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)));
-    let id = id.ok_or("X-Request-Id is missing or no id")?.to_string();
+    let assumed = context.assumed;
+    let id = match field("x-request-id") {
+        // A name of its own, that no client's can be: `~` is not in their alphabet.
+        None if assumed.is_some() && head.method == Method::GET => Some(context.door.unnamed()),
+        id => id.and_then(named),
+    };
+    let id = id.ok_or("X-Request-Id is missing or no id")?;
     let index = |names: &[String], name| names.iter().position(|known| Some(known.as_str()) == name);
-    let class = index(&context.names.classes, field("x-class")).ok_or("X-Class names no class")?;
-    if head.uri.path().split('/').nth(1) != Some(&context.names.classes[class]) {
+    let segment = head.uri.path().split('/').nth(1);
+    let class = field("x-class").or(segment.filter(|_| assumed.is_some()));
+    let class = index(&context.names.classes, class).ok_or("X-Class names no class")?;
+    if segment != Some(&context.names.classes[class]) {
         return Err("the path does not begin with the class");
     }
     // The method follows from the class: a request that may be sent again must be one that says so itself.
     if (context.settings.classes[class].effect == Effect::Free) != (head.method == Method::GET) {
         return Err("the method is not the class's");
     }
-    let plan = index(&context.names.plans, field("plan")).ok_or("Plan names no plan")?;
     let customer = field("cookie").and_then(customer).ok_or("the cookie names no client")?;
+    let plan = match (context.door.plan_of(customer), field("plan"), assumed) {
+        (Some(plan), _, _) | (None, None, Some(Assumed { plan })) => Some(plan),
+        (None, name, _) => index(&context.names.plans, name),
+    };
+    let plan = plan.ok_or("Plan names no plan")?;
     let most = Duration::from_secs_f64(context.settings.classes[class].deadline / 1000.0);
-    let patience = field("x-deadline").and_then(span).ok_or("X-Deadline is no length of time")?.min(most);
-    let quota = field("quota-info").and_then(|text| quota(text, &context.settings));
+    let patience = match field("x-deadline") {
+        None if assumed.is_some() => Some(most),
+        text => text.and_then(span),
+    };
+    let patience = patience.ok_or("X-Deadline is no length of time")?.min(most);
+    let quota = match field("quota-info") {
+        None if assumed.is_some() => Some((1.0, 1)),
+        text => text.and_then(|text| quota(text, &context.settings)),
+    };
     let (units, spread) = quota.ok_or("Quota-Info makes no sense")?;
     let target = head.uri.path_and_query().ok_or("the request has no path")?;
     let request = springusher::Request {
@@ -335,6 +353,12 @@
     Ok(Asked { id, request, patience, uri: target.clone().into() })
 }
 
+/// A client's name for a request, if it is one.
+fn named(id: &str) -> Option<String> {
+    let known = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    ((1..=ID_LIMIT).contains(&id.len()) && id.bytes().all(known)).then(|| id.to_string())
+}
+
 fn customer(cookies: &str) -> Option<u64> {
     let mut clients = cookies.split(';').filter_map(|cookie| cookie.trim().strip_prefix("client="));
     let digits = clients.next()?;
--- a/crates/brassport/src/config.rs
+++ b/crates/brassport/src/config.rs
@@ -10,7 +10,8 @@
 /// All that a front door is told at its start.
 pub struct Config {
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// Where the list of nodes is watched; `None` if the host tells it, as [`Control::Servers`](crate::Control).
+    pub discovery: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: usize,
     /// Bytes.
@@ -20,6 +21,18 @@
     pub settings: Settings,
     pub connect_timeout: Duration,
     pub idle_timeout: Duration,
+    /// Whether this door's own count is the meter, as there is no other door and nodes tell no figure.
+    pub local_meter: bool,
+    /// What a request is taken to say where it says nothing, at a site without a platform round it.
+    pub assumed: Option<Assumed>,
+}
+
+/// Stands in for headers that a request lacks: its class is the path's first segment, its time the class's, its size
+/// one unit, its plan this one, and a request that is safe to repeat needs no id. What is there must make sense.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Assumed {
+    /// By index.
+    pub plan: usize,
 }
 
 /// Names that stand on the sockets, each at the index by which the module knows it.
@@ -212,7 +225,7 @@
     };
     Ok(Config {
         listen: address("BALANCER_LISTEN", file.listen)?,
-        discovery: address("BALANCER_DISCOVERY", file.discovery)?,
+        discovery: Some(address("BALANCER_DISCOVERY", file.discovery)?),
         seed,
         sockets: file.limits.sockets,
         memory: file.limits.memory_mb.saturating_mul(1 << 20),
@@ -221,6 +234,8 @@
         settings,
         connect_timeout: time("bounds.connectTimeout", bounds.connect_timeout)?,
         idle_timeout: time("bounds.connIdle", bounds.conn_idle)?,
+        local_meter: false,
+        assumed: None,
     })
 }
 
--- a/crates/brassport/src/door.rs
+++ b/crates/brassport/src/door.rs
@@ -4,12 +4,16 @@
 use crate::backends::{Backends, End, Message};
 use crate::clock::Clock;
 use crate::discovery::{List, ListReader, State, Target};
+use crate::hooks::{Hooks, Verdict};
+use crate::local_meter::LocalMeter;
 use crate::log;
 use crate::mutants::mutant;
 use crate::network::Network;
 use hyper::body::Bytes;
 use hyper::Response;
-use springusher::{Action, AttemptEnd, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis};
+use springusher::{
+    Action, AttemptEnd, CustomerId, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis,
+};
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -54,6 +58,7 @@
 
 /// A request that awaits its answer or the ends of its attempts.
 struct InFlight {
+    request: Request,
     /// Its client's name for it.
     name: String,
     message: Rc<Message>,
@@ -74,6 +79,16 @@
     alarms: BinaryHeap<Reverse<(Instant, u64)>>,
     /// Names of the backends by the number that stands for each.
     uids: BTreeMap<ServerId, String>,
+    local_meter: Option<LocalMeter>,
+    hooks: Option<Rc<dyn Hooks>>,
+    unnamed: u64,
+}
+
+/// What the door's host brings.
+pub struct Host {
+    pub zones: Vec<String>,
+    pub local_meter: Option<LocalMeter>,
+    pub hooks: Option<Rc<dyn Hooks>>,
 }
 
 pub struct Door<C: Clock, N: Network> {
@@ -89,7 +104,7 @@
         clock: C,
         settings: Settings,
         seed: u64,
-        zones: Vec<String>,
+        host: Host,
         backends: Rc<Backends<C, N>>,
     ) -> Result<Rc<Door<C, N>>, InvalidSetting> {
         let clock = ModuleClock::new(clock);
@@ -100,8 +115,17 @@
             last: 0,
             alarms: BinaryHeap::new(),
             uids: BTreeMap::new(),
+            local_meter: host.local_meter,
+            hooks: host.hooks,
+            unnamed: 0,
         };
-        Ok(Rc::new(Door { clock, zones, backends, inner: RefCell::new(inner), sooner: Notify::new() }))
+        Ok(Rc::new(Door {
+            clock,
+            zones: host.zones,
+            backends,
+            inner: RefCell::new(inner),
+            sooner: Notify::new(),
+        }))
     }
 
     /// Takes a request in; `expires_in` and the id are filled in here. Guards against a second effect:
@@ -126,13 +150,29 @@
         request.expires_in =
             deadline.saturating_duration_since(self.clock.clock.now()).as_secs_f64() * 1000.0;
         let message = Rc::new(message);
-        let flight = InFlight { name, message, deadline, answer: Some(answer), attempts: Vec::new() };
+        if let Some(hooks) = &inner.hooks {
+            hooks.admitted(&name, &request);
+        }
+        let flight =
+            InFlight { request, name, message, deadline, answer: Some(answer), attempts: Vec::new() };
         inner.requests.insert(request.id, flight);
         drop(inner);
         self.handle(Event::Request(request));
         Some(Ticket { door: self.clone(), id: request.id, answer: receiver })
     }
 
+    /// The plan that the host knows of this customer.
+    pub fn plan_of(&self, customer: CustomerId) -> Option<usize> {
+        self.inner.borrow().hooks.as_ref()?.plan_of(customer)
+    }
+
+    /// A name for a request whose client gave it none; no client can give it.
+    pub fn unnamed(&self) -> String {
+        let mut inner = self.inner.borrow_mut();
+        inner.unnamed += 1;
+        format!("~{}", inner.unnamed)
+    }
+
     /// How many requests await their answer or the end of an attempt.
     pub fn in_flight(&self) -> usize {
         let inner = self.inner.borrow();
@@ -141,10 +181,14 @@
 
     /// Fails all that is still in flight, as the program has to end.
     pub fn fail_all(self: &Rc<Self>) {
-        let answers: Vec<_> =
-            self.inner.borrow_mut().requests.values_mut().filter_map(|flight| flight.answer.take()).collect();
-        for answer in answers {
-            let _ = answer.send(Answer::Failed);
+        let inner = &mut *self.inner.borrow_mut();
+        for (request, flight) in &mut inner.requests {
+            if let Some(answer) = flight.answer.take() {
+                let _ = answer.send(Answer::Failed);
+                if let Some(hooks) = &inner.hooks {
+                    hooks.answered(*request, Verdict::Failed);
+                }
+            }
         }
     }
 
@@ -290,6 +334,21 @@
         cancelled: oneshot::Receiver<()>,
     ) {
         let sent = self.clock.now();
+        let (node, wait) = {
+            let inner = self.inner.borrow();
+            match &inner.hooks {
+                None => (None, None),
+                Some(hooks) => {
+                    let node = inner.uids.get(&server).cloned().unwrap_or_default();
+                    let wait = hooks.before_attempt(request, &node);
+                    (Some(node), wait)
+                }
+            }
+        };
+        // Whether the node still takes requests and the client still waits is looked at behind this.
+        if let Some(wait) = wait {
+            wait.await;
+        }
         let wanted =
             || self.inner.borrow().requests.get(&request).is_some_and(|flight| flight.answer.is_some());
         // A sender that is dropped without a word cancels nothing.
@@ -298,8 +357,10 @@
                 std::future::pending::<()>().await;
             }
         };
-        let End { outcome, used, answer } =
+        let End { outcome, mut used, answer } =
             self.backends.attempt(server, &message, expire_at, cancel, wanted).await;
+        let now = self.clock.now();
+        let elapsed = now - sent;
         let mut inner = self.inner.borrow_mut();
         if mutant!(LeakInFlight) && inner.requests.get(&request).is_some_and(|flight| flight.answer.is_none())
         {
@@ -313,10 +374,21 @@
             flight.attempts[usize::from(attempt)] = None;
             finished = flight.answer.is_none();
         }
+        let Inner { local_meter, requests, .. } = &mut *inner;
+        if let (Some(meter), Some(flight)) = (local_meter, requests.get(&request)) {
+            let (customer, units) = (flight.request.customer, flight.request.units);
+            if !outcome.never_ran() {
+                meter.count(now, customer, units);
+            }
+            used = used.or_else(|| meter.reading(now, customer, flight.request.plan));
+        }
+        let end = AttemptEnd { request, attempt, outcome, elapsed, finished, used };
+        if let (Some(hooks), Some(node)) = (&inner.hooks, &node) {
+            hooks.attempt_ended(node, &end);
+        }
         inner.forget_if_over(request);
         drop(inner);
-        let elapsed = self.clock.now() - sent;
-        self.handle(Event::AttemptEnd(AttemptEnd { request, attempt, outcome, elapsed, finished, used }));
+        self.handle(Event::AttemptEnd(end));
     }
 }
 
@@ -331,6 +403,16 @@
     fn answer(&mut self, request: RequestId, answer: Answer) {
         let Some(flight) = self.requests.get_mut(&request) else { return };
         if let Some(client) = flight.answer.take() {
+            if let Some(hooks) = &self.hooks {
+                hooks.answered(
+                    request,
+                    match answer {
+                        Answer::Served(_) => Verdict::Served,
+                        Answer::Refused(wait) => Verdict::Refused(wait),
+                        Answer::Failed => Verdict::Failed,
+                    },
+                );
+            }
             let _ = client.send(answer);
         }
         self.forget_if_over(request);
@@ -341,6 +423,9 @@
         if self.requests.get(&request).is_some_and(over) {
             if let Some(flight) = self.requests.remove(&request) {
                 self.names.remove(&flight.name);
+                if let Some(hooks) = &self.hooks {
+                    hooks.departed(request);
+                }
             }
         }
     }
@@ -372,6 +457,9 @@
         if flight.answer.take().is_none() {
             return;
         }
+        if let Some(hooks) = &inner.hooks {
+            hooks.answered(self.id, Verdict::Left);
+        }
         inner.forget_if_over(self.id);
         drop(inner);
         self.door.handle(Event::ClientGone(self.id));
--- a/crates/brassport/src/lib.rs
+++ b/crates/brassport/src/lib.rs
@@ -30,8 +30,10 @@
 mod connection;
 mod connections;
 mod date;
-mod discovery;
+pub mod discovery;
 mod door;
+pub mod hooks;
+mod local_meter;
 pub mod log;
 pub mod mutants;
 pub mod network;
@@ -39,4 +41,4 @@
 mod revisions;
 mod shutdown;
 
-pub use program::{front_door, Control, Inspection};
+pub use program::{front_door, front_door_with, Control, Inspection};
--- a/crates/brassport/src/program.rs
+++ b/crates/brassport/src/program.rs
@@ -7,8 +7,10 @@
 use crate::config::Config;
 use crate::connections::Connections;
 use crate::date::DateHeader;
-use crate::discovery::Watch;
-use crate::door::Door;
+use crate::discovery::{List, Watch};
+use crate::door::{Door, Host};
+use crate::hooks::Hooks;
+use crate::local_meter::LocalMeter;
 use crate::log;
 use crate::mutants::mutant;
 use crate::network::Network;
@@ -37,6 +39,8 @@
     Terminate,
     /// Say what is held now.
     Inspect(Box<dyn FnOnce(Inspection)>),
+    /// The list of nodes or a change to it, from a host that keeps it itself.
+    Servers(ListKind, List),
     /// The configuration was read anew, as on SIGHUP, with what was wrong with it if it was.
     Reload(Box<Result<Config, String>>),
 }
@@ -60,10 +64,24 @@
 /// # Errors
 /// One plain line, if it cannot start.
 pub async fn front_door<C: Clock, N: Network>(
+    config: Config,
+    clock: C,
+    network: N,
+    control: mpsc::UnboundedReceiver<Control>,
+) -> Result<(), String> {
+    front_door_with(config, clock, network, control, None).await
+}
+
+/// As [`front_door`], with a host that looks on at each request.
+///
+/// # Errors
+/// As [`front_door`].
+pub async fn front_door_with<C: Clock, N: Network>(
     config: Config,
     clock: C,
     network: N,
     mut control: mpsc::UnboundedReceiver<Control>,
+    hooks: Option<Rc<dyn Hooks>>,
 ) -> Result<(), String> {
     let spare = config.sockets.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
     let spare = spare.ok_or_else(|| format!("limits.sockets: {} are too few", config.sockets))?;
@@ -86,13 +104,24 @@
         config.connect_timeout,
         config.idle_timeout,
     ));
-    let zones = config.names.zones.clone();
-    let door = Door::new(clock.clone(), config.settings.clone(), config.seed, zones, backends.clone())
+    let host = Host {
+        zones: config.names.zones.clone(),
+        local_meter: config.local_meter.then(|| {
+            let rates = config.settings.plans.iter().map(|plan| plan.rate).collect();
+            LocalMeter::new(config.settings.meter_period, rates)
+        }),
+        hooks,
+    };
+    let door = Door::new(clock.clone(), config.settings.clone(), config.seed, host, backends.clone())
         .map_err(|error| error.to_string())?;
-    door.servers(ListKind::Cached, config.known);
+    // A list that the host keeps is the list itself; one that was kept for discovery may be old.
+    door.servers(if config.discovery.is_some() { ListKind::Cached } else { ListKind::Full }, config.known);
     spawn_local(door.clone().keep_time());
-    let (discovery, seen) = watch::channel(config.discovery);
-    spawn_local(Watch { clock: clock.clone(), network, reader: door.clone() }.follow(seen));
+    let discovery = config.discovery.map(|address| {
+        let (discovery, seen) = watch::channel(address);
+        spawn_local(Watch { clock: clock.clone(), network, reader: door.clone() }.follow(seen));
+        discovery
+    });
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
@@ -102,6 +131,7 @@
         door: door.clone(),
         backends,
         names: config.names,
+        assumed: config.assumed,
         settings: config.settings,
         shutdown: shutdown.clone(),
         date: DateHeader::default(),
@@ -119,8 +149,13 @@
                 descriptors_taken: spare - descriptors.available_permits(),
                 body_bytes: most_bodies - context.bodies.available_permits(),
             }),
+            Control::Servers(kind, list) => door.servers(kind, list),
             Control::Reload(config) => match *config {
-                Ok(config) => drop(discovery.send_replace(config.discovery)),
+                Ok(config) => {
+                    if let (Some(discovery), Some(address)) = (&discovery, config.discovery) {
+                        discovery.send_replace(address);
+                    }
+                }
                 // Guards against half a file: what is in force stays so.
                 Err(problem) => log::line(format!("not reloaded: {problem}")),
             },
