Add the small-site appliance: state directory, control socket, command line and try

Need: a site without a platform wants one command to run the front door, change its nodes and see its health.

Change: crates/brassport-appliance. The door on one thread, the store on a second that commits in groups, a control socket on a third (0600, peer's user checked, bounded lines and clients, slow readers dropped). Unsafe requests are recorded before they are sent and wait at most 50 ms for that. try plays the appliance as a process of its own with three stand-in nodes and six studios, drains a node in the middle and looks at four rules. In the front door a second stop signal of the appliance's (Control::Hurry) fails what is in hand at once, and lists told during the end count.

--- /dev/null
+++ b/crates/brassport-appliance/src/run.rs
@@ -0,0 +1,231 @@
+//! The running appliance: the front door on one thread, the store on another, the control socket on a third.
+
+use crate::control::{self, Told};
+use crate::keeper::{self, Job, News};
+use crate::looker::{unix_ms, Looker};
+use crate::place::{LockError, Place, STATE};
+use crate::protocol::Status;
+use crate::site::{self, Site};
+use crate::Failure;
+use brassport::clock::SystemClock;
+use brassport::discovery::{self, List, Target};
+use brassport::network::Tcp;
+use brassport::{front_door_with, log, Control};
+use brassport_state::files::Directory;
+use brassport_state::model::{Action, Lifecycle, State};
+use brassport_state::store::Store;
+use springusher::ListKind;
+use std::collections::hash_map::RandomState;
+use std::fs;
+use std::hash::{BuildHasher, Hasher};
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{broadcast, mpsc, oneshot};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Events that a listener may be behind before it is dropped.
+const EVENTS: usize = 256;
+
+pub fn open(place: &Place) -> Result<Store, Failure> {
+    open_file(&place.path, STATE)
+}
+
+/// Opens a state or a backup, and checks every page of it.
+pub fn open_file(directory: &Path, name: &str) -> Result<Store, Failure> {
+    let files = Directory::open(directory)
+        .map_err(|error| Failure::failed(format!("{}: {error}", directory.display())))?;
+    Store::open(&files, name).map_err(|error| Failure::of(&keeper::problem(&error)))
+}
+
+pub fn lock(place: &Place) -> Result<crate::place::Lock, Failure> {
+    place.lock().map_err(|error| match error {
+        LockError::Held(pid) => {
+            let who = pid.map_or("another process".to_string(), |pid| format!("process {pid}"));
+            Failure::held(format!("{} is in use by {who}", place.path.display()))
+        }
+        LockError::Io(problem) => Failure::failed(problem),
+    })
+}
+
+pub fn site(place: &Place) -> Result<Site, Failure> {
+    let path = place.file(site::FILE);
+    let text = fs::read_to_string(&path).map_err(|error| {
+        Failure::failed(format!("cannot read {}: {error}; `init` writes one", path.display()))
+    })?;
+    Site::parse(&text).map_err(|problem| Failure::failed(format!("{}: {problem}", path.display())))
+}
+
+/// The list as the front door takes it.
+fn list(state: &State) -> List {
+    let target = |(name, node): (&String, &brassport_state::model::Node)| Target {
+        uid: name.clone(),
+        endpoint: node.endpoint.to_string(),
+        az: node.zone.clone(),
+        pod_group: u64::from(node.group),
+        state: match node.lifecycle {
+            Lifecycle::Ready => discovery::State::Ready,
+            Lifecycle::Draining => discovery::State::Draining,
+        },
+        capacity_hint: node.size,
+        // Guards against a wall clock that was set back: a node is not cold until a day that has been.
+        boot_ms: node.launched_ms.map_or(0.0, |at| at.min(unix_ms()) as f64),
+    };
+    List { rev: state.revision, all: true, targets: state.nodes.iter().map(target).collect() }
+}
+
+/// What a change did, for the events.
+fn describe(action: &Action) -> String {
+    match action {
+        Action::AddNode { name, endpoint, .. } => format!("node {name} added at {endpoint}"),
+        Action::DrainNode { name } => format!("node {name} drains"),
+        Action::ResumeNode { name } => format!("node {name} takes requests again"),
+        Action::RemoveNode { name } => format!("node {name} removed"),
+        Action::ImportNodes { nodes } => format!("list of {} nodes imported", nodes.len()),
+        Action::SetPlan { studio, plan: Some(plan) } => format!("studio {studio:016x} has the plan {plan}"),
+        Action::SetPlan { studio, plan: None } => format!("studio {studio:016x} has no plan of its own"),
+    }
+}
+
+/// Runs until it is told to stop.
+pub fn run(place: &Place) -> Result<(), Failure> {
+    // Guards against requests stranded by a task that is no more: a panic anywhere ends the process, and with it the
+    // lock. The store's own opening catches what a damaged file may cause.
+    let lock = lock(place)?;
+    let site = site(place)?;
+    let store = open(place)?;
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::abort();
+    }));
+    log::to_standard_error();
+    let socket = place.socket().map_err(Failure::failed)?;
+    if place.open_to_others() {
+        log::line(format!("{} can be entered by other users; `chmod 700` it", place.path.display()));
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Failure::failed(format!("cannot start: {error}")))?;
+    let (told, mut asked) = mpsc::unbounded_channel();
+    let (events, _) = broadcast::channel(EVENTS);
+    let (state, unfinished) = (Arc::new(store.state().clone()), store.unfinished_count());
+    let tell = told.clone();
+    // The door's thread has ended if nobody takes the news; then the change counts from the next start on.
+    let (jobs, keeper) = keeper::start(store, move |news| {
+        if let Err(mpsc::error::SendError(Told::News(news))) = tell.send(Told::News(news)) {
+            (news.then)();
+        }
+    })
+    .map_err(|error| Failure::failed(format!("cannot start a thread: {error}")))?;
+    let looker = Rc::new(Looker::new(site.clone(), state.clone(), unfinished, jobs.clone(), events.clone()));
+    control::start(
+        &socket,
+        lock.user,
+        control::Context { told, jobs: jobs.clone(), events, site: site.clone() },
+    )
+    .map_err(Failure::failed)?;
+    if unfinished > 0 {
+        looker
+            .event(format!("{unfinished} unsafe requests of an earlier life may have run; see `unfinished`"));
+    }
+    let seed = RandomState::new().build_hasher().finish();
+    let config = site.config(seed, list(&state));
+    let ended = LocalSet::new().block_on(&runtime, async {
+        let (controls, control) = mpsc::unbounded_channel();
+        let take = |kind| signal(kind).map_err(|error| format!("cannot take signals: {error}"));
+        let (mut terminate, mut interrupt) = (take(SignalKind::terminate())?, take(SignalKind::interrupt())?);
+        let on = looker.clone();
+        spawn_local(async move {
+            let mut ending = false;
+            loop {
+                let told = tokio::select! {
+                    biased;
+                    _ = terminate.recv() => Told::Stop { now: ending },
+                    _ = interrupt.recv() => Told::Stop { now: ending },
+                    told = asked.recv() => match told {
+                        Some(told) => told,
+                        None => return,
+                    },
+                };
+                match told {
+                    Told::Stop { now } => {
+                        on.event(if ending && now { "ends at once" } else { "ends in order" }.into());
+                        let how = if ending && now { Control::Hurry } else { Control::Terminate };
+                        ending = true;
+                        if controls.send(how).is_err() {
+                            return;
+                        }
+                    }
+                    Told::News(news) => take_news(&on, news, &controls),
+                    Told::Status(reply) => ask_status(&on, ending, reply, &controls),
+                }
+            }
+        });
+        front_door_with(config, SystemClock, Tcp, control, Some(looker.clone())).await
+    });
+    // The socket goes first: whoever finds none knows that there is nobody to ask.
+    let _ = fs::remove_file(&socket);
+    // What is unsafe and still out stays recorded: it was failed, and may have run.
+    let _ = jobs.send(Job::Close);
+    keeper.join().map_err(|_| Failure::failed("the keeper of the state ended in a panic".into()))?;
+    ended.map_err(Failure::failed)
+}
+
+fn take_news(looker: &Rc<Looker>, news: News, controls: &mpsc::UnboundedSender<Control>) {
+    looker.take(news.state.clone());
+    looker.unfinished.set(news.unfinished);
+    if *looker.read_only.borrow() != news.read_only {
+        if let Some(problem) = &news.read_only {
+            looker.event(format!("changes are no longer taken: {problem}"));
+            log::line(problem.clone());
+        }
+        looker.read_only.replace(news.read_only);
+    }
+    for (change, done) in news.made.iter().filter(|(_, done)| !done.repeated) {
+        looker.event(format!("{} (revision {}, {})", describe(&change.action), done.revision, change.who));
+    }
+    // Acknowledged once the door goes by it: what is told behind the list is heard behind it. A door that has ended
+    // sends nothing any more.
+    let listed = controls.send(Control::Servers(ListKind::Full, list(&news.state)));
+    let then = news.then;
+    match listed {
+        Ok(()) => drop(controls.send(Control::Inspect(Box::new(move |_| then())))),
+        Err(_) => then(),
+    }
+}
+
+fn ask_status(
+    looker: &Rc<Looker>,
+    ending: bool,
+    reply: oneshot::Sender<Status>,
+    controls: &mpsc::UnboundedSender<Control>,
+) {
+    let looker = looker.clone();
+    // A door that has ended drops the question, and the asker is told so.
+    let _ = controls.send(Control::Inspect(Box::new(move |held| {
+        let (now, unix, site) = (looker.now(), unix_ms(), &looker.site);
+        let (board, state) = (looker.board.borrow(), looker.state.borrow());
+        let status = Status {
+            version: env!("CARGO_PKG_VERSION").into(),
+            pid: std::process::id(),
+            listen: site.listen.to_string(),
+            uptime_ms: now as u64,
+            ending,
+            in_flight: held.in_flight,
+            client_connections: held.client_connections,
+            revision: state.revision,
+            read_only: looker.read_only.borrow().clone(),
+            unfinished: looker.unfinished.get(),
+            unrecorded: looker.unrecorded(),
+            classes: site.classes.iter().cloned().zip(board.classes.iter().copied()).collect(),
+            nodes: board.node_rows(now, unix, &state, &site.settings),
+            studios: board.studio_rows(now, &site.plans),
+            requests: board.request_rows(now, &site.classes),
+            events: board.events(),
+        };
+        let _ = reply.send(status);
+    })));
+}
--- a/crates/brassport-state/src/store.rs
+++ b/crates/brassport-state/src/store.rs
@@ -7,7 +7,7 @@
 use redb::{
     Builder, Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, ReadableTableMetadata,
 };
-use redb::{StorageError, TableDefinition, WriteTransaction};
+use redb::{ReadTransaction, StorageError, TableDefinition, WriteTransaction};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::io;
@@ -561,18 +561,33 @@
         read().map_err(|error| failed("read", &self.file, error))
     }
 
-    /// Writes a copy of all that is durable into another file, whole or not at all.
+    /// All that is durable now, to be read while changes go on.
+    ///
+    /// # Errors
+    /// The file cannot be read.
+    pub fn snapshot(&self) -> Result<Snapshot, StoreError> {
+        let read = self.database.begin_read().map_err(|error| failed("read", &self.file, error))?;
+        Ok(Snapshot { read })
+    }
+}
+
+/// What was durable at a moment. Writes do not wait for it.
+pub struct Snapshot {
+    read: ReadTransaction,
+}
+
+impl Snapshot {
+    /// Writes a copy into another file, whole or not at all.
     ///
     /// # Errors
     /// This file cannot be read or that one not be written.
     pub fn copy_to<F: Files>(&self, files: &F, name: &str) -> Result<(), StoreError> {
-        let read = self.database.begin_read().map_err(|error| failed("read", &self.file, error))?;
         place(files, name, |database| {
             let transaction = begin(database)?;
             macro_rules! copy {
                 ($($table:ident)*) => {$({
                     let mut table = transaction.open_table($table)?;
-                    for row in read.open_table($table)?.iter()? {
+                    for row in self.read.open_table($table)?.iter()? {
                         let (key, value) = row?;
                         table.insert(key.value(), value.value())?;
                     }
--- a/crates/brassport-state/tests/common/mod.rs
+++ b/crates/brassport-state/tests/common/mod.rs
@@ -501,7 +501,7 @@
     let other = Disk::default();
     make(&other).map_err(text)?;
     let new = fill(&other, &mut random, &mut number).map_err(text)?;
-    let restore = |disk: &Disk| Store::open(&other, FILE)?.copy_to(disk, FILE);
+    let restore = |disk: &Disk| Store::open(&other, FILE)?.snapshot()?.copy_to(disk, FILE);
     let trial = sound.copy();
     restore(&trial).map_err(text)?;
     for at in 0..=trial.operations() {
--- a/crates/brassport-state/tests/power_cuts.rs
+++ b/crates/brassport-state/tests/power_cuts.rs
@@ -190,6 +190,6 @@
     store.write(&Batch { clear_unfinished: Some(unfinished[0].0), ..Batch::default() }).expect("written");
     assert_eq!(store.unfinished_count(), 0);
     let copy = Disk::default();
-    store.copy_to(&copy, FILE).expect("copied");
+    store.snapshot().and_then(|all| all.copy_to(&copy, FILE)).expect("copied");
     assert_eq!(whole(&Store::open(&copy, FILE).expect("it opens")), whole(&store));
 }
--- a/crates/brassport/src/program.rs
+++ b/crates/brassport/src/program.rs
@@ -16,6 +16,7 @@
 use crate::network::Network;
 use crate::shutdown::{Phase, Shutdown};
 use springusher::ListKind;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +38,8 @@
 pub enum Control {
     /// End in order, as on SIGTERM.
     Terminate,
+    /// End at once: what is still in hand is failed, each with its answer.
+    Hurry,
     /// Say what is held now.
     Inspect(Box<dyn FnOnce(Inspection)>),
     /// The list of nodes or a change to it, from a host that keeps it itself.
@@ -45,6 +48,12 @@
     Reload(Box<Result<Config, String>>),
 }
 
+#[derive(PartialEq)]
+enum End {
+    InOrder,
+    Now,
+}
+
 /// What a front door holds at a moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Inspection {
@@ -140,9 +149,11 @@
     });
     let mut serving = spawn_local(clients::serve(listener, context.clone(), descriptors.clone()));
 
-    while let Some(told) = control.recv().await {
+    // Takes in what is told; whether that is to end, and how.
+    let take = |told: Control| {
         match told {
-            Control::Terminate => break,
+            Control::Terminate => return Some(End::InOrder),
+            Control::Hurry => return Some(End::Now),
             Control::Inspect(say) => say(Inspection {
                 in_flight: door.in_flight(),
                 client_connections: context.connections.count(),
@@ -160,11 +171,43 @@
                 Err(problem) => log::line(format!("not reloaded: {problem}")),
             },
         }
-    }
+        None
+    };
+    let mut orderly = loop {
+        match control.recv().await.map(&take) {
+            None | Some(Some(End::InOrder)) => break true,
+            Some(Some(End::Now)) => break false,
+            Some(None) => {}
+        }
+    };
+    // What is told goes on counting to the end: nothing new goes to a node that begins to drain meanwhile.
+    let mut hurried = pin!(async {
+        loop {
+            match control.recv().await.map(&take) {
+                Some(Some(End::Now)) => return,
+                Some(_) => {}
+                None => std::future::pending().await,
+            }
+        }
+    });
     shutdown.advance(Phase::Leaving);
-    clock.sleep(LEAVING).await;
+    if orderly {
+        tokio::select! {
+            biased;
+            () = &mut hurried => orderly = false,
+            () = clock.sleep(LEAVING) => {}
+        }
+    }
     shutdown.advance(Phase::Closing);
-    if clock.timeout(closing.saturating_sub(LAST_WORDS), &mut serving).await.is_none() {
+    if orderly {
+        let ended = clock.timeout(closing.saturating_sub(LAST_WORDS), &mut serving);
+        orderly = tokio::select! {
+            biased;
+            () = &mut hurried => false,
+            ended = ended => ended.is_some(),
+        };
+    }
+    if !orderly {
         if !mutant!(NoFailAtEnd) {
             door.fail_all();
         }
