Add the appliance's console: fleet, studios, requests, events, and confirmed actions

Need: nobody at a small site reads logs; health and changes have to be seen and made from a terminal.

Actions are confirmed and say which revision was looked at. The decision module tells its limit and room (read only).

--- a/crates/brassport-appliance/src/client.rs
+++ b/crates/brassport-appliance/src/client.rs
@@ -43,6 +43,16 @@
         }
     }
 
+    /// Sets how long an answer may take.
+    ///
+    /// # Errors
+    /// What the system says.
+    pub fn patience(&mut self, time: Duration) -> Result<(), String> {
+        let stream = self.stream.get_ref();
+        let set = stream.set_read_timeout(Some(time)).and(stream.set_write_timeout(Some(time)));
+        set.map_err(|error| error.to_string())
+    }
+
     /// # Errors
     /// The appliance refused, or ended meanwhile.
     pub fn ask(&mut self, ask: Ask) -> Result<Value, Failure> {
--- a/crates/brassport-appliance/src/command.rs
+++ b/crates/brassport-appliance/src/command.rs
@@ -3,7 +3,7 @@
 use crate::client::{self, Client};
 use crate::place::{Place, STATE};
 use crate::protocol::{Ask, History, Nodes, Plans, Status, Unfinished};
-use crate::{run, trial, Failure};
+use crate::{console, run, trial, Failure};
 use brassport_state::model::{Action, Change, Lifecycle, NewNode};
 use brassport_state::store::Done;
 use clap::{Args, CommandFactory, Parser, Subcommand};
@@ -12,6 +12,7 @@
 use std::io::{self, BufRead, IsTerminal, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 const EXITS: &str = "Exit codes:
@@ -56,6 +57,8 @@
     },
     /// Serve, in the foreground, until `stop`, SIGTERM or Ctrl-C. A second one ends at once.
     Run,
+    /// Watch the running appliance, and change it, from this terminal.
+    Console,
     /// Show the running appliance.
     Status,
     /// The list of nodes.
@@ -207,6 +210,7 @@
             })
         }
         Command::Run => run::run(&place),
+        Command::Console => console::run(&place, &AtomicBool::new(false)),
         Command::Status => {
             let value = ask(Ask::Status)?;
             let status: Status = read(&value)?;
@@ -462,11 +466,13 @@
     let ending = if status.ending { ", ending" } else { "" };
     writeln!(
         out,
-        "{} (process {}, up {} s{ending}): {} in flight, {} connections, revision {}",
+        "{} (process {}, up {} s{ending}): {} in flight of {:.0}, room {:.0}%, {} connections, revision {}",
         status.listen,
         status.pid,
         status.uptime_ms / 1000,
         status.in_flight,
+        status.limit,
+        100.0 * status.room,
         status.client_connections,
         status.revision
     )?;
--- a/crates/brassport-appliance/src/main.rs
+++ b/crates/brassport-appliance/src/main.rs
@@ -5,6 +5,7 @@
 mod board;
 mod client;
 mod command;
+mod console;
 mod control;
 mod keeper;
 mod looker;
--- a/crates/brassport-appliance/src/protocol.rs
+++ b/crates/brassport-appliance/src/protocol.rs
@@ -144,6 +144,8 @@
     pub name: String,
     pub endpoint: String,
     pub lifecycle: Lifecycle,
+    /// The one that last changed it; 0 if it is no longer in the list.
+    pub revision: u64,
     /// Of its size, from 0 to 1.
     pub warmth: f64,
     pub in_flight: u32,
@@ -189,6 +191,10 @@
     /// Whether it is ending.
     pub ending: bool,
     pub in_flight: usize,
+    /// Most that the decision module would have in flight now: it grows with timely answers.
+    pub limit: f64,
+    /// The part of what the quotas admit that the nodes have room for, from 0 to 1.
+    pub room: f64,
     pub client_connections: usize,
     pub revision: u64,
     /// Why changes are not taken, if they are not.
--- a/crates/brassport-appliance/src/run.rs
+++ b/crates/brassport-appliance/src/run.rs
@@ -215,6 +215,8 @@
             uptime_ms: now as u64,
             ending,
             in_flight: held.in_flight,
+            limit: held.limit,
+            room: held.room,
             client_connections: held.client_connections,
             revision: state.revision,
             read_only: looker.read_only.borrow().clone(),
--- a/crates/brassport/src/door.rs
+++ b/crates/brassport/src/door.rs
@@ -166,6 +166,11 @@
         self.inner.borrow().hooks.as_ref()?.plan_of(customer)
     }
 
+    /// The module's limit on attempts out, and its room.
+    pub fn room(&self) -> (f64, f64) {
+        self.inner.borrow().gateway.room()
+    }
+
     /// A name for a request whose client gave it none; no client can give it.
     pub fn unnamed(&self) -> String {
         let mut inner = self.inner.borrow_mut();
--- a/crates/brassport/src/program.rs
+++ b/crates/brassport/src/program.rs
@@ -55,10 +55,14 @@
 }
 
 /// What a front door holds at a moment.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Inspection {
     /// Requests that await their answer or the end of an attempt.
     pub in_flight: usize,
+    /// Most attempts that the decision module would have out now, and the part of what the quotas admit that it finds
+    /// room for, from 0 to 1.
+    pub limit: f64,
+    pub room: f64,
     /// Connections of clients.
     pub client_connections: usize,
     /// Descriptors taken by connections of clients and to nodes, and one that is kept for the next client.
@@ -156,6 +160,8 @@
             Control::Hurry => return Some(End::Now),
             Control::Inspect(say) => say(Inspection {
                 in_flight: door.in_flight(),
+                limit: door.room().0,
+                room: door.room().1,
                 client_connections: context.connections.count(),
                 descriptors_taken: spare - descriptors.available_permits(),
                 body_bytes: most_bodies - context.bodies.available_permits(),
--- a/crates/springusher/src/control.rs
+++ b/crates/springusher/src/control.rs
@@ -255,6 +255,11 @@
         }
     }
 
+    /// Most attempts that it would have out now, and the share of what the quotas admit that it has room for.
+    pub fn room(&self) -> (f64, f64) {
+        (self.limit, self.room)
+    }
+
     // ---- Admission. ----
 
     fn arrive(&mut self, request: Request, actions: &mut Vec<Action>) {
