--- a/crates/brassport-appliance/tests/appliance.rs
+++ b/crates/brassport-appliance/tests/appliance.rs
@@ -160,8 +160,11 @@
         assert!(console.ask(json!({ "ask": "stop", "now": false }))["error"].is_null());
         if hurry {
             assert!(console.ask(json!({ "ask": "stop", "now": true }))["error"].is_null());
+            let asked = Instant::now();
             let statuses: Vec<u16> = clients.into_iter().map(status).collect();
             assert_eq!(statuses.iter().filter(|status| **status == 504).count(), 200);
+            // In order it would be 3 s: what the clients wait.
+            assert!(asked.elapsed() < Duration::from_secs(2), "they were failed at their deadlines");
         } else {
             held.into_iter().for_each(Held::answer);
             let statuses: Vec<u16> = clients.into_iter().map(status).collect();
@@ -288,3 +291,76 @@
         assert_eq!(mode(name), 0o600, "{name}");
     }
 }
+
+/// A limit on the size of files stands for a full disk: what would grow the file fails.
+#[test]
+fn on_a_full_disk_changes_are_refused_with_the_reason_and_traffic_goes_on() {
+    let mut site = Site::new();
+    let node = Node::start();
+    site.add("a", node.address);
+    let length = std::fs::metadata(site.path().join("state.redb")).expect("it is there").len();
+    // `ulimit -f` counts 512 bytes in a POSIX shell; the signal that goes with the error is ignored.
+    let limit = format!("trap '' XFSZ; ulimit -f {}; exec \"$0\" \"$@\"", length / 512);
+    let program = common::program(site.path(), &["run"]);
+    let mut command = std::process::Command::new("/bin/sh");
+    command.args(["-c", &limit]).arg(program.get_program()).args(program.get_args());
+    site.start_by(command);
+    let mut console = site.connect();
+    let long = |number: u64| {
+        let name = |at: u64| json!({ "name": format!("{number}-{at:0>100}"), "endpoint": node.address });
+        let mut nodes: Vec<Value> = (0..1000).map(name).collect();
+        nodes.push(json!({ "name": "a", "endpoint": node.address }));
+        let action = json!({ "action": "import_nodes", "nodes": nodes });
+        json!({ "ask": "change", "change": { "id": format!("c{number}"), "who": "", "at_ms": 0, "action": action } })
+    };
+    let refused = (0..100).map(|number| console.ask(long(number))).find(|answer| !answer["error"].is_null());
+    let refused = refused.expect("the disk is full at last");
+    assert_eq!(refused["error"]["code"], "io", "{refused}");
+    assert!(refused["error"]["message"].as_str().expect("text").contains("state.redb"), "{refused}");
+    // Nothing is taken from then on, and what is in force goes on.
+    let again = console.ask(long(1000));
+    assert_eq!(again["error"]["code"], "read_only", "{again}");
+    assert!(site.json(&["status"])["read_only"].is_string());
+    let client = send(site.listen, "frame", "f1");
+    node.next().answer();
+    assert_eq!(status(client), 200);
+    // An unsafe request goes on too, and is counted as one without a record.
+    let client = send(site.listen, "job-submit", "j1");
+    node.next().answer();
+    assert_eq!(status(client), 200);
+    assert_eq!(site.json(&["status"])["unrecorded"], 1);
+    site.kill();
+    let store = site.state();
+    assert!(store.state().nodes.contains_key("a"), "the old list or a later one that was acknowledged");
+}
+
+#[test]
+fn a_stop_while_changes_are_written_loses_none_that_was_acknowledged() {
+    let mut site = Site::new();
+    site.start();
+    let mut console = site.connect();
+    let mut stopping = site.connect();
+    let (acknowledged, answers) = channel();
+    let asking = thread::spawn(move || {
+        for number in 0.. {
+            let change = draw_change(number, 0);
+            let change =
+                Change { action: Action::SetPlan { studio: number, plan: Some("large".into()) }, ..change };
+            let told = console.tell(json!({ "ask": "change", "change": change }));
+            match told.ok().and_then(|()| console.hear()) {
+                Some(answer) if answer["ok"].is_object() => {
+                    acknowledged.send(number).expect("the test listens")
+                }
+                _ => return,
+            }
+        }
+    });
+    // Some are made before the stop begins.
+    answers.iter().take(20).for_each(drop);
+    assert!(stopping.ask(json!({ "ask": "stop", "now": false }))["error"].is_null());
+    assert!(site.ended());
+    asking.join().expect("it ends with the connection");
+    let last = answers.iter().last().expect("changes were made while it ended");
+    let made = site.state().state().plans.len() as u64;
+    assert!(made == last + 1 || made == last + 2, "{made} made, {} acknowledged", last + 1);
+}
--- a/crates/brassport-appliance/tests/common/mod.rs
+++ b/crates/brassport-appliance/tests/common/mod.rs
@@ -62,7 +62,11 @@
     }
 
     pub fn start(&mut self) {
-        let process = program(self.path(), &["run"]).stderr(Stdio::null()).spawn().expect("it starts");
+        self.start_by(program(self.path(), &["run"]));
+    }
+
+    pub fn start_by(&mut self, mut command: Command) {
+        let process = command.stdin(Stdio::null()).stderr(Stdio::null()).spawn().expect("it starts");
         self.process = Some(process);
         drop(self.connect());
     }
