Let init write whichever of configuration and state is missing

A state that was restored on a new machine had no configuration, and init refused as there was a state. Ends of unsafe requests that found the keeper's queue full are handed over at the end, so that a clean stop leaves none as unfinished.

--- a/crates/brassport-appliance/src/client.rs
+++ b/crates/brassport-appliance/src/client.rs
@@ -4,7 +4,7 @@
 use crate::place::{Place, STATE};
 use crate::protocol::{Answer, Ask, Problem, Question, LINE_LIMIT, VERSION};
 use crate::{control, looker, run, site, Failure};
-use brassport_state::files::Directory;
+use brassport_state::files::{Directory, Files};
 use serde_json::Value;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::os::unix::net::UnixStream;
@@ -164,32 +164,38 @@
     restored
 }
 
-/// Writes the operators' file and an empty state. What is there already is never overwritten.
+/// Writes the operators' file and an empty state, or the one of them that is missing, and says which. What is there
+/// already is never overwritten.
 ///
 /// # Errors
-/// There is a state already, or the directory takes no file.
-pub fn init(place: &Place, listen: std::net::SocketAddr) -> Result<bool, Failure> {
+/// Both are there, or the directory takes no file.
+pub fn init(place: &Place, listen: std::net::SocketAddr) -> Result<Vec<&'static str>, Failure> {
     use std::os::unix::fs::OpenOptionsExt;
     let io = |error: io::Error| Failure::failed(format!("{}: {error}", place.path.display()));
     place.make().map_err(io)?;
     let _lock = run::lock(place)?;
     let files = Directory::open(&place.path).map_err(io)?;
-    if place.file(STATE).exists() {
+    let (path, new) = (place.file(site::FILE), place.file("appliance.toml.new"));
+    let (state, file) = (place.file(STATE).exists(), path.exists());
+    if state && file {
         let problem = format!("{} is there already, and is left as it is", place.file(STATE).display());
         return Err(Failure::of(&Problem::new("exists", problem)));
     }
-    let (path, new) = (place.file(site::FILE), place.file("appliance.toml.new"));
-    let written = if path.exists() {
+    let mut written = Vec::new();
+    if file {
         run::site(place)?;
-        false
     } else {
         let _ = std::fs::remove_file(&new);
         let mut options = std::fs::OpenOptions::new();
         let mut file = options.write(true).create_new(true).mode(0o600).open(&new).map_err(io)?;
         file.write_all(site::template(listen).as_bytes()).and_then(|()| file.sync_all()).map_err(io)?;
-        std::fs::rename(&new, &path).map_err(io)?;
-        true
-    };
-    brassport_state::store::Store::create(&files, STATE).map_err(|error| Failure::of(&problem(&error)))?;
+        std::fs::rename(&new, &path).and_then(|()| files.sync()).map_err(io)?;
+        written.push(site::FILE);
+    }
+    if !state {
+        brassport_state::store::Store::create(&files, STATE)
+            .map_err(|error| Failure::of(&problem(&error)))?;
+        written.push(STATE);
+    }
     Ok(written)
 }
--- a/crates/brassport-appliance/src/command.rs
+++ b/crates/brassport-appliance/src/command.rs
@@ -49,7 +49,7 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Write a configuration with comments and an empty state; overwrites nothing.
+    /// Write a configuration with comments and an empty state, whichever is missing; overwrites nothing.
     Init {
         /// Where clients will connect; asked for on a terminal if not given.
         #[arg(long, value_name = "ADDRESS:PORT")]
@@ -201,12 +201,8 @@
             };
             let written = client::init(&place, listen)?;
             show(json, &Value::Null, |out| {
-                let dir = place.path.display();
-                let what = if written { "a configuration and " } else { "" };
-                writeln!(
-                    out,
-                    "wrote {what}an empty state in {dir}\nnext: `run`, then `nodes add NAME ADDRESS:PORT`"
-                )
+                let (dir, written) = (place.path.display(), written.join(" and "));
+                writeln!(out, "wrote {written} in {dir}\nnext: `run`, then `nodes add NAME ADDRESS:PORT`")
             })
         }
         Command::Run => run::run(&place),
--- a/crates/brassport-appliance/src/looker.rs
+++ b/crates/brassport-appliance/src/looker.rs
@@ -90,6 +90,11 @@
         let _ = self.events.send(event);
     }
 
+    /// The ends that found no room on the way, for the end of the program.
+    pub fn last_ends(&self) -> Vec<String> {
+        self.ends.take()
+    }
+
     fn hand_on_ends(&self) {
         let mut ends = self.ends.borrow_mut();
         if ends.is_empty() {
--- a/crates/brassport-appliance/src/run.rs
+++ b/crates/brassport-appliance/src/run.rs
@@ -169,6 +169,7 @@
     // The socket goes first: whoever finds none knows that there is nobody to ask.
     let _ = fs::remove_file(&socket);
     // What is unsafe and still out stays recorded: it was failed, and may have run.
+    let _ = jobs.send(Job::Ended(looker.last_ends()));
     let _ = jobs.send(Job::Close);
     keeper.join().map_err(|_| Failure::failed("the keeper of the state ended in a panic".into()))?;
     ended.map_err(Failure::failed)
--- a/crates/brassport-appliance/tests/appliance.rs
+++ b/crates/brassport-appliance/tests/appliance.rs
@@ -83,6 +83,13 @@
     assert_eq!(exit(&site.command(&["restore", backup, "--force"])), 0);
     let nodes = site.json(&["nodes", "list"])["nodes"].clone();
     assert!(nodes["a"].is_object() && nodes["b"].is_null(), "{nodes}");
+    // On a new machine: the state comes back first, and `init` writes the file that is missing.
+    let second = tempfile::tempdir().expect("a directory");
+    let there = |words: &[&str]| exit(&common::program(second.path(), words).output().expect("it starts"));
+    assert_eq!(there(&["restore", backup]), 0);
+    assert_eq!(there(&["init", "--listen", "127.0.0.1:8080"]), 0);
+    assert_eq!(there(&["nodes", "drain", "a"]), 0, "the state is the backup's");
+    assert_eq!(there(&["init"]), 4);
     // A backup that is damaged replaces nothing.
     let mut bytes = std::fs::read(backup).expect("it reads");
     let middle = bytes.len() / 2;
