Test that an unsafe attempt waits for its record

Cause: with the wait taken out of the door every test stayed green: the job in hand at the cut was recorded in time by chance.

Change: a test with a host that holds an attempt back: the node hears nothing until it lets go.

--- /dev/null
+++ b/crates/brassport/tests/hooks.rs
@@ -0,0 +1,94 @@
+//! What a host that looks on may hold back.
+
+use brassport::clock::SystemClock;
+use brassport::config::{Assumed, Config, Names};
+use brassport::discovery::{List, State, Target};
+use brassport::front_door_with;
+use brassport::hooks::{Hooks, Wait};
+use brassport::network::Tcp;
+use springusher::{Class, Effect, Plan, RequestId, Settings};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, Notify};
+use tokio::task::{spawn_local, LocalSet};
+
+#[derive(Default)]
+struct Holding {
+    asked: Notify,
+    go_on: Rc<Notify>,
+}
+
+impl Hooks for Holding {
+    fn before_attempt(&self, _: RequestId, _: &str) -> Option<Wait> {
+        self.asked.notify_one();
+        let go_on = self.go_on.clone();
+        Some(Box::pin(async move { go_on.notified().await }))
+    }
+}
+
+fn config(listen: SocketAddr, node: SocketAddr) -> Config {
+    let effect = Effect::Once;
+    let class = Class { worth: 1.0, aim: 5000.0, deadline: 10_000.0, late_share: 0.5, effect };
+    let target = Target {
+        uid: "a".into(),
+        endpoint: node.to_string(),
+        az: String::new(),
+        pod_group: 0,
+        state: State::Ready,
+        capacity_hint: 1.0,
+        boot_ms: 0.0,
+    };
+    let (classes, plans) = (vec![class], vec![Plan::default()]);
+    Config {
+        listen,
+        discovery: None,
+        seed: 1,
+        sockets: 128,
+        memory: 1 << 24,
+        known: List { rev: 1, all: true, targets: vec![target] },
+        names: Names { classes: vec!["job".into()], plans: vec!["p".into()], zones: vec![String::new()] },
+        settings: Settings { classes, plans, ..Settings::default() },
+        connect_timeout: Duration::from_secs(5),
+        idle_timeout: Duration::from_secs(5),
+        local_meter: true,
+        assumed: Some(Assumed { plan: 0 }),
+    }
+}
+
+#[tokio::test]
+async fn nothing_reaches_a_node_before_its_record_is_made() {
+    let node = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let free = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let listen = free.local_addr().expect("an address");
+    drop(free);
+    let config = config(listen, node.local_addr().expect("an address"));
+    let hooks = Rc::new(Holding::default());
+    let held = hooks.clone();
+    let test = async {
+        let (_controls, control) = mpsc::unbounded_channel();
+        spawn_local(front_door_with(config, SystemClock, Tcp, control, Some(hooks)));
+        tokio::task::yield_now().await;
+        let head = "POST /job HTTP/1.1\r\nHost: d\r\nX-Request-Id: j\r\nCookie: client=0000000000000007\r\n\
+                    Content-Length: 0\r\n\r\n";
+        let mut client = TcpStream::connect(listen).await.expect("the door is open");
+        client.write_all(head.as_bytes()).await.expect("sent");
+        held.asked.notified().await;
+        // A whole exchange with the door: time enough for an attempt that does not wait.
+        let mut other = TcpStream::connect(listen).await.expect("the door is open");
+        other
+            .write_all(b"GET /healthz HTTP/1.1\r\nHost: d\r\nConnection: close\r\n\r\n")
+            .await
+            .expect("sent");
+        other.read_to_end(&mut Vec::new()).await.expect("answered");
+        let early = tokio::time::timeout(Duration::from_millis(50), node.accept()).await;
+        assert!(early.is_err(), "the node was asked before its record was made");
+        held.go_on.notify_one();
+        let (mut stream, _) = node.accept().await.expect("now it is asked");
+        stream.read_exact(&mut [0; 4]).await.expect("the request comes");
+    };
+    let bounded = LocalSet::new().run_until(tokio::time::timeout(Duration::from_secs(20), test)).await;
+    bounded.expect("it ends");
+}
