Merge reports of several sources into one book of nodes

Need: a site outside the platform learns its nodes from Nomad and from files, which may be stale, restored or disagree, and no drained node may come back by an old word.

Change: crates/brassport-membership, without I/O: a table that orders what one source tells (events, lists, stale and empty ones, a restored source), a book that merges sources by stated rules and explains each line, and, as a feature, a reader and a follower of Nomad's answers. The platform's discovery is the first source of the book, the appliance's stored list another; Control::Servers has become Control::Report.

Property tests of the table (any order and repetition ends in the same rows) and of the book.

--- a/crates/brassport-appliance/src/run.rs
+++ b/crates/brassport-appliance/src/run.rs
@@ -8,13 +8,12 @@
 use crate::site::{self, Site};
 use crate::Failure;
 use brassport::clock::SystemClock;
-use brassport::discovery::{self, List, Target};
 use brassport::network::Tcp;
 use brassport::{front_door_with, log, Control};
+use brassport_membership::book::{self, Entry, Report, Source};
 use brassport_state::files::Directory;
 use brassport_state::model::{Action, Lifecycle, State};
 use brassport_state::store::Store;
-use springusher::ListKind;
 use std::collections::hash_map::RandomState;
 use std::fs;
 use std::hash::{BuildHasher, Hasher};
@@ -57,22 +56,24 @@
     Site::parse(&text).map_err(|problem| Failure::failed(format!("{}: {problem}", path.display())))
 }
 
-/// The list as the front door takes it.
-fn list(state: &State) -> List {
-    let target = |(name, node): (&String, &brassport_state::model::Node)| Target {
-        uid: name.clone(),
-        endpoint: node.endpoint.to_string(),
-        az: node.zone.clone(),
-        pod_group: u64::from(node.group),
-        state: match node.lifecycle {
-            Lifecycle::Ready => discovery::State::Ready,
-            Lifecycle::Draining => discovery::State::Draining,
-        },
-        capacity_hint: node.size,
+/// The stored list as the book of nodes takes it.
+fn stored(state: &State) -> Report {
+    let entry = |(name, node): (&String, &brassport_state::model::Node)| Entry {
+        id: name.as_str().into(),
+        address: Some(node.endpoint),
+        zone: node.zone.clone(),
+        group: u64::from(node.group),
+        size: node.size,
         // Guards against a wall clock that was set back: a node is not cold until a day that has been.
         boot_ms: node.launched_ms.map_or(0.0, |at| at.min(unix_ms()) as f64),
+        state: match node.lifecycle {
+            Lifecycle::Ready => book::State::Ready,
+            Lifecycle::Draining => book::State::Draining,
+        },
+        revision: node.revision,
+        note: String::new(),
     };
-    List { rev: state.revision, all: true, targets: state.nodes.iter().map(target).collect() }
+    Report::whole(state.nodes.iter().map(entry).collect())
 }
 
 /// What a change did, for the events.
@@ -132,7 +133,7 @@
             .event(format!("{unfinished} unsafe requests of an earlier life may have run; see `unfinished`"));
     }
     let seed = RandomState::new().build_hasher().finish();
-    let config = site.config(seed, list(&state));
+    let config = site.config(seed, vec![(Source::as_told("stored"), Some(stored(&state)))]);
     let ended = LocalSet::new().block_on(&runtime, async {
         let (controls, control) = mpsc::unbounded_channel();
         let take = |kind| signal(kind).map_err(|error| format!("cannot take signals: {error}"));
@@ -190,7 +191,7 @@
     }
     // Acknowledged once the door goes by it: what is told behind the list is heard behind it. A door that has ended
     // sends nothing any more.
-    let listed = controls.send(Control::Servers(ListKind::Full, list(&news.state)));
+    let listed = controls.send(Control::Report(0, stored(&news.state)));
     let then = news.then;
     match listed {
         Ok(()) => drop(controls.send(Control::Inspect(Box::new(move |_| then())))),
@@ -251,8 +252,8 @@
             revision: 1,
         };
         let state = State { revision: 1, nodes: [("a".to_string(), node)].into(), ..State::default() };
-        let list = list(&state);
-        assert!(list.targets[0].boot_ms <= unix_ms() as f64);
-        assert!(list.targets[0].state == discovery::State::Draining && list.all);
+        let report = stored(&state);
+        assert!(report.entries[0].boot_ms <= unix_ms() as f64);
+        assert!(report.entries[0].state == book::State::Draining && report.whole);
     }
 }
--- a/crates/brassport-appliance/src/site.rs
+++ b/crates/brassport-appliance/src/site.rs
@@ -1,7 +1,7 @@
 //! The operators' own file, `appliance.toml`: checked, and turned into the front door's terms.
 
 use brassport::config::{Assumed, Config, Names};
-use brassport::discovery::List;
+use brassport_membership::book::{Report, Source};
 use serde::Deserialize;
 use springusher::{Class, Effect, Plan, Scope, Settings};
 use std::net::SocketAddr;
@@ -153,14 +153,15 @@
     }
 
     /// The front door's configuration, with the list of nodes that it starts with.
-    pub fn config(&self, seed: u64, known: List) -> Config {
+    pub fn config(&self, seed: u64, sources: Vec<(Source, Option<Report>)>) -> Config {
         Config {
             listen: self.listen,
             discovery: None,
+            sources,
+            known: None,
             seed,
             sockets: self.sockets,
             memory: self.memory_mb << 20,
-            known,
             names: Names {
                 classes: self.classes.clone(),
                 plans: self.plans.clone(),
--- /dev/null
+++ b/crates/brassport-membership/tests/book.rs
@@ -0,0 +1,248 @@
+//! The book: what several sources together say.
+
+use brassport_membership::book::{Book, Entry, Moment, Report, Source, State, Word};
+use brassport_membership::table::Id;
+use proptest::prelude::*;
+
+fn at(ms: u64) -> Moment {
+    Moment { monotonic: ms, unix: 1_000_000 + ms }
+}
+
+fn node(id: &str, port: u16, state: State) -> Entry {
+    Entry { state, ..Entry::ready(id, ([127, 0, 0, 1], port).into()) }
+}
+
+fn two() -> Book {
+    Book::new(vec![Source::authority("nomad"), Source::authority("file")])
+}
+
+fn state(book: &Book, id: &str) -> Option<State> {
+    book.nodes().find(|entry| &*entry.id == id).map(|entry| entry.state)
+}
+
+fn withdraw(ids: &[&str]) -> Report {
+    Report { withdrawn: ids.iter().map(|id| Id::from(*id)).collect(), ..Report::changes(Vec::new()) }
+}
+
+#[test]
+fn a_drain_of_any_authority_wins_at_once_whichever_is_first() {
+    for (says, other) in [(0, 1), (1, 0)] {
+        let mut book = two();
+        book.take(at(0), other, Report::whole(vec![node("a", 1, State::Ready)]));
+        book.take(at(1), says, Report::whole(vec![node("a", 1, State::Ready)]));
+        let update = book.take(at(2), says, Report::changes(vec![node("a", 1, State::Draining)]));
+        assert_eq!(update.nodes, [node("a", 1, State::Draining)]);
+        // The other says again what it said: nothing comes back.
+        assert_eq!(book.take(at(3), other, Report::whole(vec![node("a", 1, State::Ready)])).nodes, []);
+        assert_eq!(state(&book, "a"), Some(State::Draining));
+        // Who said it takes it back.
+        book.take(at(4), says, Report::changes(vec![node("a", 1, State::Ready)]));
+        assert_eq!(state(&book, "a"), Some(State::Ready));
+    }
+}
+
+#[test]
+fn what_one_source_calls_gone_stays_gone_while_another_still_lists_it() {
+    let mut book = two();
+    book.take(at(0), 0, Report::whole(vec![node("a", 1, State::Ready)]));
+    book.take(at(0), 1, Report::whole(vec![node("a", 1, State::Ready)]));
+    let update = book.take(at(1), 0, Report::changes(vec![node("a", 1, State::Gone)]));
+    assert_eq!(update.nodes[0].state, State::Gone);
+    assert_eq!(book.explain("a", at(5)).unwrap().because, "'nomad' says gone");
+    assert_eq!(book.len(), 1, "remembered against the other's word");
+    book.take(at(2), 1, withdraw(&["a"]));
+    assert_eq!(book.len(), 0);
+    assert_eq!(book.explain("a", at(5)).unwrap().state, State::Gone, "and explained for a while");
+}
+
+#[test]
+fn a_node_goes_when_the_last_source_lists_it_no_longer() {
+    let mut book = two();
+    book.take(at(0), 0, Report::whole(vec![node("a", 1, State::Ready), node("b", 2, State::Ready)]));
+    book.take(at(0), 1, Report::whole(vec![node("a", 1, State::Ready)]));
+    assert_eq!(book.take(at(1), 0, withdraw(&["a"])).nodes, []);
+    let update = book.take(at(2), 1, Report::whole(vec![]));
+    assert_eq!(update.nodes, [node("a", 1, State::Gone)]);
+    assert!(!update.whole, "the other source's nodes are not in it");
+    let why = book.explain("a", at(10)).unwrap();
+    assert_eq!((why.because.as_str(), why.age_ms), ("no source lists it any more", 8));
+    assert_eq!(state(&book, "b"), Some(State::Ready));
+}
+
+#[test]
+fn another_life_is_not_held_to_what_was_said_of_the_old_one() {
+    let mut book = two();
+    let old = Entry { boot_ms: 100.0, ..node("a", 1, State::Draining) };
+    book.take(at(0), 0, Report::whole(vec![old]));
+    book.take(at(0), 1, Report::whole(vec![Entry { boot_ms: 100.0, ..node("a", 1, State::Ready) }]));
+    assert_eq!(state(&book, "a"), Some(State::Draining));
+    let reborn = Entry { boot_ms: 200.0, ..node("a", 1, State::Ready) };
+    let update = book.take(at(1), 1, Report::changes(vec![reborn]));
+    assert_eq!((update.nodes[0].state, update.nodes[0].boot_ms), (State::Ready, 200.0), "and cold from then");
+}
+
+#[test]
+fn a_kept_list_fills_in_until_each_authority_has_spoken_and_never_against_one() {
+    let mut book =
+        Book::new(vec![Source::authority("nomad"), Source::authority("file"), Source::advisory("kept")]);
+    let kept = ["a", "b", "c"].map(|id| node(id, id.as_bytes()[0].into(), State::Ready));
+    assert_eq!(book.take(at(0), 2, Report::whole(kept.to_vec())).nodes.len(), 3);
+    assert_eq!(book.explain("a", at(0)).unwrap().because, "'kept' keeps it until each source has been heard");
+    book.take(at(1), 0, Report::whole(vec![node("a", 97, State::Draining)]));
+    assert_eq!((state(&book, "a"), state(&book, "b")), (Some(State::Draining), Some(State::Ready)));
+    let update = book.take(at(2), 1, Report::whole(vec![node("b", 98, State::Ready)]));
+    assert_eq!(update.nodes, [node("c", 99, State::Gone)]);
+    assert!(book.is_settled());
+    // A word of the kept list is no word against an authority's.
+    let mut book = Book::new(vec![Source::authority("nomad"), Source::advisory("kept")]);
+    book.take(at(0), 1, Report::whole(vec![node("a", 97, State::Draining)]));
+    book.take(at(1), 0, Report::whole(vec![node("a", 97, State::Ready)]));
+    assert_eq!(state(&book, "a"), Some(State::Ready));
+}
+
+#[test]
+fn of_two_nodes_at_one_address_the_later_start_has_it() {
+    let mut book = two();
+    let old = Entry { boot_ms: 100.0, ..node("old", 1, State::Ready) };
+    let new = Entry { boot_ms: 200.0, ..node("new", 1, State::Ready) };
+    book.take(at(0), 0, Report::whole(vec![old.clone()]));
+    let update = book.take(at(1), 1, Report::whole(vec![new.clone()]));
+    assert_eq!(update.nodes, [new.clone(), Entry { state: State::Draining, ..old.clone() }]);
+    assert_eq!(
+        book.explain("old", at(2)).unwrap().because,
+        "its address belongs to 'new', which started later"
+    );
+    // The order of the reports does not matter.
+    let mut other = two();
+    other.take(at(0), 1, Report::whole(vec![new.clone()]));
+    other.take(at(1), 0, Report::whole(vec![old.clone()]));
+    assert!(other.nodes().eq(book.nodes()));
+    // The old one does not get it by being told again, and has it back when the other goes.
+    assert_eq!(book.take(at(3), 0, Report::whole(vec![old.clone()])).nodes, []);
+    let update = book.take(at(4), 1, withdraw(&["new"]));
+    assert_eq!(update.nodes, [Entry { state: State::Gone, ..new }, old]);
+}
+
+#[test]
+fn a_node_at_two_addresses_is_where_the_first_source_says_and_cold_where_it_moves_to() {
+    let mut book = two();
+    book.take(at(0), 0, Report::whole(vec![node("a", 1, State::Ready)]));
+    assert_eq!(book.take(at(1), 1, Report::whole(vec![node("a", 2, State::Ready)])).nodes, []);
+    let words = book.explain("a", at(1)).unwrap().words;
+    assert_ne!(words[0].address, words[1].address, "the disagreement can be seen");
+    let update = book.take(at(2), 0, Report::changes(vec![node("a", 3, State::Ready)]));
+    assert_eq!(update.nodes[0].address.unwrap().port(), 3);
+    assert_eq!(update.nodes[0].boot_ms, 1_000_002.0, "taken for started when it moved");
+    // It stays started then, whoever reports next.
+    book.take(at(50), 1, Report::changes(vec![node("a", 2, State::Draining)]));
+    assert_eq!(book.nodes().next().unwrap().boot_ms, 1_000_002.0);
+}
+
+#[test]
+fn a_node_without_an_address_gets_nothing() {
+    let mut book = two();
+    let update =
+        book.take(at(0), 0, Report::whole(vec![Entry { address: None, ..node("a", 1, State::Ready) }]));
+    assert_eq!(update.nodes[0].state, State::Draining);
+    assert_eq!(book.explain("a", at(0)).unwrap().because, "'nomad' tells no address for it");
+}
+
+#[test]
+fn the_only_source_is_passed_on_as_it_is_in_its_order() {
+    let mut book = Book::new(vec![Source::as_told("platform")]);
+    let list = [node("b", 1, State::Ready), node("a", 1, State::Ready), node("c", 2, State::Draining)];
+    let update = book.take(at(0), 0, Report::whole(list.to_vec()));
+    assert!(update.whole);
+    assert_eq!(update.nodes, list);
+    // Said again: the module is told again, as it takes a whole list for a sign of life.
+    assert_eq!(book.take(at(1), 0, Report::whole(list.to_vec())).nodes, list);
+    let update = book.take(at(2), 0, Report::changes(vec![node("a", 1, State::Gone)]));
+    assert_eq!((update.whole, update.nodes), (false, vec![node("a", 1, State::Gone)]));
+}
+
+#[test]
+fn names_that_go_take_no_memory() {
+    let mut book = two();
+    book.take(at(0), 0, Report::whole(vec![]));
+    for life in 0..2_000u64 {
+        let id = format!("n{life}");
+        book.take(at(life), 0, Report::changes(vec![node(&id, 1, State::Ready)]));
+        book.take(at(life), 0, Report::changes(vec![node(&id, 1, State::Gone)]));
+    }
+    assert_eq!(book.len(), 0);
+    assert_eq!(book.sources(at(3_000))[0].nodes, 0);
+    assert!(book.explain("n1999", at(3_000)).is_some());
+    assert!(book.explain("n0", at(3_000)).is_none());
+}
+
+/// Whole reports of two authorities, each as of the last of some words.
+fn word() -> impl Strategy<Value = (usize, Entry)> {
+    let states = prop_oneof![Just(State::Ready), Just(State::Draining), Just(State::Gone)];
+    (0usize..2, 0u8..4, 1u16..4, states, 0u8..3).prop_map(|(source, id, port, state, boot)| {
+        let mut entry = node(&format!("n{id}"), port, state);
+        entry.boot_ms = f64::from(boot) * 100.0;
+        (source, entry)
+    })
+}
+
+proptest! {
+    #[test]
+    fn the_list_depends_on_the_last_words_and_not_on_how_the_sources_interleave(
+        words in prop::collection::vec(word(), 1..40),
+        first in any::<bool>(),
+    ) {
+        // Addresses are fixed by name: a move counts from when it was seen, which is a matter of order.
+        let words: Vec<_> = words.into_iter().map(|(source, mut entry)| {
+            let number = u16::from(entry.id.as_bytes()[1] - b'0');
+            entry.address = Some(([127, 0, 0, 1], 1 + number / 2).into());
+            (source, entry)
+        }).collect();
+        let of = |source: usize| words.iter().filter(move |(from, _)| *from == source).map(|(_, entry)| entry.clone());
+        // As told, interleaved.
+        let mut mixed = two();
+        for source in 0..2 { mixed.take(at(0), source, Report::whole(vec![])); }
+        for (source, entry) in &words { mixed.take(at(1), *source, Report::changes(vec![entry.clone()])); }
+        // One source after the other, each word twice.
+        let mut apart = two();
+        for source in 0..2 { apart.take(at(0), source, Report::whole(vec![])); }
+        for source in if first { [0, 1] } else { [1, 0] } {
+            for entry in of(source) {
+                apart.take(at(1), source, Report::changes(vec![entry.clone()]));
+                apart.take(at(1), source, Report::changes(vec![entry]));
+            }
+        }
+        // A word that all call gone is forgotten at once, and with it the other source's earlier word.
+        let all_gone = |id: &Id| (0..2).any(|source| of(source).any(|entry| entry.id == *id && entry.state == State::Gone));
+        let listed = |book: &Book| book.nodes().filter(|entry| !all_gone(&entry.id)).cloned().collect::<Vec<_>>();
+        let shares = |entry: &Entry| (0..4u8).any(|n| all_gone(&format!("n{n}").as_str().into()) && entry.address == Some(([127, 0, 0, 1], 1 + u16::from(n) / 2).into()));
+        let (mixed, apart) = (listed(&mixed), listed(&apart));
+        let plain = |list: Vec<Entry>| list.into_iter().filter(|entry| !shares(entry)).collect::<Vec<_>>();
+        prop_assert_eq!(plain(mixed), plain(apart));
+    }
+
+    #[test]
+    fn the_precedence_rule_holds_after_every_word(words in prop::collection::vec(word(), 1..60)) {
+        let mut book = two();
+        for source in 0..2 { book.take(at(0), source, Report::whole(vec![])); }
+        let mut told: std::collections::BTreeMap<Id, State> = Default::default();
+        for (now, (source, entry)) in words.into_iter().enumerate() {
+            let update = book.take(at(now as u64), source, Report::changes(vec![entry]));
+            for node in update.nodes { told.insert(node.id, node.state); }
+            for entry in book.nodes() {
+                let why = book.explain(&entry.id, at(now as u64)).unwrap();
+                // What the reader was told is what the book lists.
+                prop_assert_eq!(told.get(&entry.id), Some(&entry.state));
+                if entry.state == State::Ready {
+                    // Every word against it is of an earlier life.
+                    let earlier = |boot: f64| boot > 0.0 && boot < entry.boot_ms;
+                    let holds = |word: &Word| word.says == State::Ready || earlier(word.boot_ms);
+                    prop_assert!(why.words.iter().all(holds), "{:?}", why);
+                    let rivals = book.nodes().filter(|other| {
+                        other.address == entry.address && other.id != entry.id && other.state == State::Ready
+                    });
+                    prop_assert_eq!(rivals.count(), 0, "two at one address");
+                }
+            }
+        }
+    }
+}
--- a/crates/brassport/src/config.rs
+++ b/crates/brassport/src/config.rs
@@ -1,6 +1,7 @@
 //! Configuration: the environment and the JSON file it names, checked and turned into the module's terms.
 
 use crate::discovery::List;
+use brassport_membership::book::{Report, Source};
 use serde::Deserialize;
 use springusher::{Class, Effect, Plan, Scope, Settings};
 use std::net::SocketAddr;
@@ -10,13 +11,17 @@
 /// All that a front door is told at its start.
 pub struct Config {
     pub listen: SocketAddr,
-    /// Where the list of nodes is watched; `None` if the host tells it, as [`Control::Servers`](crate::Control).
+    /// Where the platform's list of nodes is watched; the first source of nodes, if there is one.
     pub discovery: Option<SocketAddr>,
+    /// Further sources of nodes, which the host tells as [`Control::Report`](crate::Control), and what each says at
+    /// the start.
+    pub sources: Vec<(Source, Option<Report>)>,
     pub seed: u64,
     pub sockets: usize,
     /// Bytes.
     pub memory: usize,
-    pub known: List,
+    /// The list kept for discovery; it may be old.
+    pub known: Option<List>,
     pub names: Names,
     pub settings: Settings,
     pub connect_timeout: Duration,
@@ -226,10 +231,11 @@
     Ok(Config {
         listen: address("BALANCER_LISTEN", file.listen)?,
         discovery: Some(address("BALANCER_DISCOVERY", file.discovery)?),
+        sources: Vec::new(),
         seed,
         sockets: file.limits.sockets,
         memory: file.limits.memory_mb.saturating_mul(1 << 20),
-        known: file.known,
+        known: Some(file.known),
         names,
         settings,
         connect_timeout: time("bounds.connectTimeout", bounds.connect_timeout)?,
--- a/crates/brassport/src/discovery.rs
+++ b/crates/brassport/src/discovery.rs
@@ -5,11 +5,11 @@
 use crate::mutants::mutant;
 use crate::network::Network;
 use crate::revisions::Revisions;
+use brassport_membership::book::{self, Entry, Report};
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
-use springusher::ListKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -63,10 +63,37 @@
     Unknown,
 }
 
+impl List {
+    /// As the book of nodes takes it.
+    pub fn report(self) -> Report {
+        let revision = self.rev;
+        let entry = |target: Target| Entry {
+            id: target.uid.into(),
+            address: target.endpoint.parse().ok(),
+            zone: target.az,
+            group: target.pod_group,
+            size: target.capacity_hint,
+            boot_ms: target.boot_ms,
+            state: match target.state {
+                State::Ready => book::State::Ready,
+                State::Draining | State::Unknown => book::State::Draining,
+                State::Gone => book::State::Gone,
+            },
+            revision,
+            note: if target.state == State::Unknown { "in no known word".into() } else { String::new() },
+        };
+        Report {
+            whole: self.all,
+            entries: self.targets.into_iter().map(entry).collect(),
+            withdrawn: Vec::new(),
+        }
+    }
+}
+
 /// Who is told of the list.
 pub trait ListReader {
     /// Takes in the whole list, or what changed in it.
-    fn take(&self, kind: ListKind, list: List);
+    fn take(&self, report: Report);
 }
 
 /// The watch on the list, at one agent at a time.
@@ -106,7 +133,7 @@
                     }
                     last = Some(list.rev);
                     back_off = FIRST_BACK_OFF;
-                    self.reader.take(if list.all { ListKind::Full } else { ListKind::Delta }, list);
+                    self.reader.take(list.report());
                     self.clock.sleep(PACE).await;
                 }
                 Some(Some(_)) => {
--- a/crates/brassport/src/door.rs
+++ b/crates/brassport/src/door.rs
@@ -3,12 +3,12 @@
 
 use crate::backends::{Backends, End, Message};
 use crate::clock::Clock;
-use crate::discovery::{List, ListReader, State, Target};
 use crate::hooks::{Hooks, Verdict};
 use crate::local_meter::LocalMeter;
 use crate::log;
 use crate::mutants::mutant;
 use crate::network::Network;
+use brassport_membership::book::{Entry, State};
 use hyper::body::Bytes;
 use hyper::Response;
 use springusher::{
@@ -18,7 +18,6 @@
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, Notify};
@@ -198,13 +197,12 @@
     }
 
     /// Takes in the list of backends or a change to it, for itself and for the module.
-    pub fn servers(self: &Rc<Self>, kind: ListKind, list: List) {
-        let mut entries = Vec::with_capacity(list.targets.len());
-        for target in &list.targets {
-            let id = self.id(&target.uid);
-            let address = target.endpoint.parse().ok();
-            let entry = self.entry(id, target, address);
-            match address {
+    pub fn servers(self: &Rc<Self>, kind: ListKind, nodes: &[Entry]) {
+        let mut entries = Vec::with_capacity(nodes.len());
+        for node in nodes {
+            let id = self.id(&node.id);
+            let entry = self.entry(id, node);
+            match node.address {
                 Some(at) if entry.lifecycle != Lifecycle::Gone => {
                     self.backends.put(id, at, entry.lifecycle == Lifecycle::Ready);
                 }
@@ -213,29 +211,30 @@
             entries.push(entry);
         }
         if kind != ListKind::Delta {
-            self.backends.retain(|id| entries.iter().any(|entry| entry.id == id));
+            let listed: BTreeSet<ServerId> = entries.iter().map(|entry| entry.id).collect();
+            self.backends.retain(|id| listed.contains(&id));
+            self.inner.borrow_mut().uids.retain(|id, _| listed.contains(id));
         }
         // Guards the memory: names of the gone would pile up, as each new backend has a new one.
-        let gone = |id| entries.iter().any(|entry| entry.id == id && entry.lifecycle == Lifecycle::Gone);
-        let listed = |id| kind == ListKind::Delta || entries.iter().any(|entry| entry.id == id);
-        self.inner.borrow_mut().uids.retain(|id, _| listed(*id) && !gone(*id));
+        for entry in entries.iter().filter(|entry| entry.lifecycle == Lifecycle::Gone) {
+            self.inner.borrow_mut().uids.remove(&entry.id);
+        }
         self.handle(Event::Servers { kind, entries });
     }
 
-    fn entry(&self, id: ServerId, target: &Target, address: Option<SocketAddr>) -> ServerEntry {
-        let zone = self.zones.iter().position(|zone| *zone == target.az);
+    fn entry(&self, id: ServerId, node: &Entry) -> ServerEntry {
+        let zone = self.zones.iter().position(|zone| *zone == node.zone);
         ServerEntry {
             id,
             zone: zone.map_or(u16::MAX, |zone| zone as u16),
-            cell: target.pod_group as u16,
-            share: target.capacity_hint,
-            lifecycle: match target.state {
-                State::Ready if address.is_some() => Lifecycle::Ready,
-                State::Ready | State::Draining | State::Unknown => Lifecycle::Draining,
+            cell: node.group as u16,
+            share: node.size,
+            lifecycle: match node.state {
+                State::Ready if node.address.is_some() => Lifecycle::Ready,
+                State::Ready | State::Draining => Lifecycle::Draining,
                 State::Gone => Lifecycle::Gone,
             },
-            launched: (target.boot_ms > 0.0 && !mutant!(ColdIgnored))
-                .then(|| self.clock.of_unix(target.boot_ms)),
+            launched: (node.boot_ms > 0.0 && !mutant!(ColdIgnored)).then(|| self.clock.of_unix(node.boot_ms)),
         }
     }
 
@@ -397,12 +396,6 @@
     }
 }
 
-impl<C: Clock, N: Network> ListReader for Rc<Door<C, N>> {
-    fn take(&self, kind: ListKind, list: List) {
-        self.servers(kind, list);
-    }
-}
-
 impl Inner {
     /// Passes the final answer on, unless there was one before.
     fn answer(&mut self, request: RequestId, answer: Answer) {
--- a/crates/brassport/src/lib.rs
+++ b/crates/brassport/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod hooks;
 mod local_meter;
 pub mod log;
+mod members;
 pub mod mutants;
 pub mod network;
 mod program;
--- a/crates/brassport/src/program.rs
+++ b/crates/brassport/src/program.rs
@@ -7,14 +7,16 @@
 use crate::config::Config;
 use crate::connections::Connections;
 use crate::date::DateHeader;
-use crate::discovery::{List, Watch};
+use crate::discovery::Watch;
 use crate::door::{Door, Host};
 use crate::hooks::Hooks;
 use crate::local_meter::LocalMeter;
 use crate::log;
+use crate::members::{Members, Place};
 use crate::mutants::mutant;
 use crate::network::Network;
 use crate::shutdown::{Phase, Shutdown};
+use brassport_membership::book::{Book, Moment, Report, Source};
 use springusher::ListKind;
 use std::pin::pin;
 use std::rc::Rc;
@@ -42,8 +44,10 @@
     Hurry,
     /// Say what is held now.
     Inspect(Box<dyn FnOnce(Inspection)>),
-    /// The list of nodes or a change to it, from a host that keeps it itself.
-    Servers(ListKind, List),
+    /// What one of the host's own sources of nodes reports, by its place in [`Config::sources`].
+    Report(usize, Report),
+    /// Look at the book of nodes.
+    Book(Box<dyn FnOnce(&Book, Moment)>),
     /// The configuration was read anew, as on SIGHUP, with what was wrong with it if it was.
     Reload(Box<Result<Config, String>>),
 }
@@ -127,12 +131,23 @@
     };
     let door = Door::new(clock.clone(), config.settings.clone(), config.seed, host, backends.clone())
         .map_err(|error| error.to_string())?;
-    // A list that the host keeps is the list itself; one that was kept for discovery may be old.
-    door.servers(if config.discovery.is_some() { ListKind::Cached } else { ListKind::Full }, config.known);
+    let platform = config.discovery.map(|_| Source::as_told("platform"));
+    let first = usize::from(platform.is_some());
+    let (told, reports): (Vec<_>, Vec<_>) = config.sources.into_iter().unzip();
+    let sources = platform.into_iter().chain(told).collect();
+    let members = Rc::new(Members::new(clock.clone(), sources, door.clone()));
+    if let Some(known) = config.known {
+        door.servers(ListKind::Cached, &known.report().entries);
+    }
+    for (place, report) in reports.into_iter().enumerate() {
+        if let Some(report) = report {
+            members.take(first + place, report);
+        }
+    }
     spawn_local(door.clone().keep_time());
     let discovery = config.discovery.map(|address| {
         let (discovery, seen) = watch::channel(address);
-        spawn_local(Watch { clock: clock.clone(), network, reader: door.clone() }.follow(seen));
+        spawn_local(Watch { clock: clock.clone(), network, reader: Place(members.clone(), 0) }.follow(seen));
         discovery
     });
     let sweeper = backends.clone();
@@ -166,7 +181,8 @@
                 descriptors_taken: spare - descriptors.available_permits(),
                 body_bytes: most_bodies - context.bodies.available_permits(),
             }),
-            Control::Servers(kind, list) => door.servers(kind, list),
+            Control::Report(place, report) => members.take(first + place, report),
+            Control::Book(look) => look(&members.book(), members.now()),
             Control::Reload(config) => match *config {
                 Ok(config) => {
                     if let (Some(discovery), Some(address)) = (&discovery, config.discovery) {
--- a/crates/brassport/tests/hooks.rs
+++ b/crates/brassport/tests/hooks.rs
@@ -2,10 +2,10 @@
 
 use brassport::clock::SystemClock;
 use brassport::config::{Assumed, Config, Names};
-use brassport::discovery::{List, State, Target};
 use brassport::front_door_with;
 use brassport::hooks::{Hooks, Wait};
 use brassport::network::Tcp;
+use brassport_membership::book::{Entry, Report, Source};
 use springusher::{Class, Effect, Plan, RequestId, Settings};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,23 +32,16 @@
 fn config(listen: SocketAddr, node: SocketAddr) -> Config {
     let effect = Effect::Once;
     let class = Class { worth: 1.0, aim: 5000.0, deadline: 10_000.0, late_share: 0.5, effect };
-    let target = Target {
-        uid: "a".into(),
-        endpoint: node.to_string(),
-        az: String::new(),
-        pod_group: 0,
-        state: State::Ready,
-        capacity_hint: 1.0,
-        boot_ms: 0.0,
-    };
+    let node = Report::whole(vec![Entry::ready("a", node)]);
     let (classes, plans) = (vec![class], vec![Plan::default()]);
     Config {
         listen,
         discovery: None,
+        sources: vec![(Source::authority("list"), Some(node))],
         seed: 1,
         sockets: 128,
         memory: 1 << 24,
-        known: List { rev: 1, all: true, targets: vec![target] },
+        known: None,
         names: Names { classes: vec!["job".into()], plans: vec!["p".into()], zones: vec![String::new()] },
         settings: Settings { classes, plans, ..Settings::default() },
         connect_timeout: Duration::from_secs(5),
