Follow a Nomad service as a source of nodes, against a stand-in with troubles

Need: a site with Nomad has its nodes in Nomad's API, which can be stale, restored, cut off, limited or wrong.

A list that lacks for long what only an event told is taken for a restored source.

--- a/crates/brassport-membership/src/nomad/follower.rs
+++ b/crates/brassport-membership/src/nomad/follower.rs
@@ -21,6 +21,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
+/// So long the first list of registrations waits for the others. What it tells counts as told from the start, and
+/// must count within the 500 ms that a drain has.
+pub const PATIENCE: Millis = 250;
+
 /// Which list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum List {
@@ -92,6 +96,7 @@
     dirty: BTreeSet<Id>,
     excused: BTreeSet<List>,
     reported_whole: bool,
+    first_list: Option<Millis>,
 }
 
 struct Link {
@@ -115,6 +120,7 @@
             dirty: BTreeSet::new(),
             excused: BTreeSet::new(),
             reported_whole: false,
+            first_list: None,
         }
     }
 
@@ -278,13 +284,20 @@
         self.excused.insert(list);
     }
 
-    /// What is news since the last report: `None` before there was a whole list of each kind that can be had, and
-    /// where nothing has changed.
-    pub fn report(&mut self) -> Option<Report> {
+    /// Whether there was a report.
+    pub fn has_reported(&self) -> bool {
+        self.reported_whole
+    }
+
+    /// What is news since the last report: `None` before there was a whole list of each kind that can be had or
+    /// [`PATIENCE`] was over, and where nothing has changed.
+    pub fn report(&mut self, now: Moment) -> Option<Report> {
         self.services.index()?;
+        let waited = now.monotonic.saturating_sub(*self.first_list.get_or_insert(now.monotonic));
         let told = |list, index: Option<u64>| index.is_some() || self.excused.contains(&list);
         // Guards a node that drains, or is cold, against requests while only its registration is known.
-        if !told(List::Clients, self.clients.index()) || !told(List::Allocs, self.allocs.index()) {
+        let all = told(List::Clients, self.clients.index()) && told(List::Allocs, self.allocs.index());
+        if !all && waited < PATIENCE {
             return None;
         }
         let whole = !std::mem::replace(&mut self.reported_whole, true);
--- a/crates/brassport-membership/src/table.rs
+++ b/crates/brassport-membership/src/table.rs
@@ -7,7 +7,7 @@
 //! - a list that is stale drops nothing. Of what it names, only what was written later than is known counts;
 //! - a list behind the newest one is passed over. A source that tells nothing else for [`Rules::behind_for`] has been
 //!   restored, and its numbers begin anew: then its list counts, but a row that was held back or gone stays so until
-//!   the source writes it again;
+//!   the source writes it again. So it is if its lists lack for that long what its events told;
 //! - an empty list counts once it has been told for [`Rules::empty_for`] by answers that are fresh.
 
 use crate::mutants::mutant;
@@ -80,8 +80,10 @@
     pub told: Option<V>,
     /// The source's index when it wrote this.
     pub revision: u64,
-    /// When it was told.
+    /// Since when it says this.
     pub at: Millis,
+    /// When this revision was told.
+    heard: Millis,
     /// Outlived a restore: only a word written later than this counts.
     held_until: Option<u64>,
 }
@@ -159,12 +161,12 @@
         }
         if known.is_none() && told.is_none() {
             // Guards against an older word on a row that went before it was known.
-            self.put(id.into(), Row { told: None, revision, at: now, held_until: None });
+            self.put(id.into(), Row { told: None, revision, at: now, heard: now, held_until: None });
             return false;
         }
         let changed = known.is_none_or(|row| row.told != told);
         let at = known.filter(|_| !changed).map_or(now, |row| row.at);
-        self.put(id.into(), Row { told, revision, at, held_until: None });
+        self.put(id.into(), Row { told, revision, at, heard: now, held_until: None });
         changed
     }
 
@@ -172,7 +174,7 @@
     pub fn forget(&mut self, now: Millis, id: &str) {
         if let Some((id, row)) = self.rows.get_key_value(id).filter(|(_, row)| row.told.is_some()) {
             let (id, revision, held_until) = (id.clone(), row.revision, row.held_until);
-            self.put(id, Row { told: None, revision, at: now, held_until });
+            self.put(id, Row { told: None, revision, at: now, heard: now, held_until });
         }
     }
 
@@ -195,8 +197,11 @@
             return Taken::Newer;
         }
         let behind = self.index.is_some_and(|newest| index < newest) && !mutant!(TrustLowerIndex);
+        // A source that still does not list what its events told so long ago has forgotten it.
+        let forgot =
+            |row: &Row<V>| row.revision > index && now.saturating_sub(row.heard) >= self.rules.behind_for;
         let anew = match (behind, self.behind_since) {
-            (false, _) => false,
+            (false, _) => self.rows.values().any(forgot),
             (true, Some(since)) => now.saturating_sub(since) >= self.rules.behind_for,
             (true, None) => {
                 self.behind_since = Some(now);
@@ -258,7 +263,7 @@
             if same.is_none() {
                 changed.push(id.clone());
             }
-            self.put(id, Row { told: Some(value), revision, at, held_until: None });
+            self.put(id, Row { told: Some(value), revision, at, heard: now, held_until: None });
         }
         let lacks = |(id, row): (&Id, &Row<V>)| {
             (row.told.is_some() && row.revision <= index && !listed.contains(id)).then(|| id.clone())
@@ -266,7 +271,7 @@
         let absent: Vec<Id> = self.rows.iter().filter_map(lacks).collect();
         for id in absent {
             changed.push(id.clone());
-            self.put(id, Row { told: None, revision: index, at: now, held_until: None });
+            self.put(id, Row { told: None, revision: index, at: now, heard: now, held_until: None });
         }
     }
 
--- a/crates/brassport-membership/tests/table.rs
+++ b/crates/brassport-membership/tests/table.rs
@@ -124,6 +124,18 @@
     assert_eq!((table.get("a"), table.get("b")), (Some(&DRAINS), Some(&UP)));
 }
 
+#[test]
+fn what_only_an_event_told_is_given_up_when_the_lists_lack_it_for_long() {
+    let mut table = table();
+    tell(&mut table, 0, 10, Standing::Fresh, &[("a", 1, UP)]);
+    table.tell(1, "b", 16, Some(UP));
+    table.tell(1, "a", 17, Some(DRAINS));
+    assert_eq!(tell(&mut table, 1_000, 10, Standing::Fresh, &[("a", 1, UP)]), Taken::Whole);
+    assert_eq!((table.get("a"), table.get("b")), (Some(&DRAINS), Some(&UP)));
+    assert_eq!(tell(&mut table, 1_001, 10, Standing::Fresh, &[("a", 1, UP)]), Taken::Anew);
+    assert_eq!((table.get("a"), table.get("b")), (Some(&DRAINS), None));
+}
+
 #[test]
 fn an_empty_list_is_believed_when_it_is_told_for_long_and_not_when_a_server_is_broken_for_a_moment() {
     let mut table = table();
--- a/crates/brassport-sim/src/door.rs
+++ b/crates/brassport-sim/src/door.rs
@@ -1,8 +1,10 @@
 //! One front door under simulation: its process, as far as a process is a set of tasks.
 
+use crate::api::Api;
 use crate::kernel::{Host, Kernel};
 use crate::seams::{SimClock, SimNetwork};
 use brassport::{config, front_door, Control};
+use brassport_membership::book::Source;
 use std::cell::{Cell, RefCell};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::pin::Pin;
@@ -38,12 +40,15 @@
     Spins,
 }
 
+/// How a program ended, once it has.
+pub type Ended = Rc<RefCell<Option<Result<(), String>>>>;
+
 /// A running front door.
 pub struct Process {
     tasks: LocalSet,
     awake: Arc<Flag>,
     waker: Waker,
-    ended: Rc<RefCell<Option<Result<(), String>>>>,
+    ended: Ended,
     controls: mpsc::UnboundedSender<Control>,
     /// Polls so far.
     pub turns: u64,
@@ -78,19 +83,60 @@
     /// What is wrong with the configuration.
     pub fn start(kernel: &Kernel, host: Host, wall: Rc<Cell<i64>>, text: &str) -> Result<Process, String> {
         let config = config::parse(text, config::First::File, |_| None)?;
-        let (controls, control) = mpsc::unbounded_channel();
-        let tasks = LocalSet::new();
-        let ended = Rc::new(RefCell::new(None));
+        Ok(Process::door(kernel, host, wall, config, None))
+    }
+
+    /// Starts the program with this configuration, and with a source that learns of the nodes from Nomad.
+    ///
+    /// # Errors
+    /// What is wrong with the configuration.
+    pub fn start_with_nomad(
+        kernel: &Kernel,
+        host: Host,
+        wall: Rc<Cell<i64>>,
+        text: &str,
+        api: &Api,
+        seed: u64,
+    ) -> Result<Process, String> {
+        let mut config = config::parse(text, config::First::File, |_| None)?;
+        config.discovery = None;
+        config.sources = vec![(Source::authority("nomad"), None)];
+        Ok(Process::door(kernel, host, wall, config, Some((api, seed))))
+    }
+
+    fn door(
+        kernel: &Kernel,
+        host: Host,
+        wall: Rc<Cell<i64>>,
+        config: config::Config,
+        nomad: Option<(&Api, u64)>,
+    ) -> Process {
         let (clock, network) =
             (SimClock::new(kernel.clone(), host, wall), SimNetwork::new(kernel.clone(), host));
-        let end = ended.clone();
-        tasks.spawn_local(async move {
-            let result = front_door(config, clock, network, control).await;
-            *end.borrow_mut() = Some(result);
-        });
+        let (controls, control) = mpsc::unbounded_channel();
+        let source = nomad.map(|(api, seed)| api.source(kernel, host, clock.clone(), seed, controls.clone()));
+        Process::with(controls, move |tasks, ended| {
+            tasks.spawn_local(async move {
+                let result = front_door(config, clock, network, control).await;
+                *ended.borrow_mut() = Some(result);
+            });
+            if let Some(source) = source {
+                tasks.spawn_local(source.follow());
+            }
+        })
+    }
+
+    /// A program of these tasks, which is told nothing from outside.
+    pub fn of(spawn: impl FnOnce(&LocalSet, Ended)) -> Process {
+        Process::with(mpsc::unbounded_channel().0, spawn)
+    }
+
+    fn with(controls: mpsc::UnboundedSender<Control>, spawn: impl FnOnce(&LocalSet, Ended)) -> Process {
+        let (tasks, ended) = (LocalSet::new(), Ended::default());
+        spawn(&tasks, ended.clone());
         let awake = Arc::new(Flag::default());
         awake.0.store(true, Ordering::Relaxed);
-        Ok(Process { tasks, waker: awake.clone().into(), awake, ended, controls, turns: 0 })
+        Process { tasks, waker: awake.clone().into(), awake, ended, controls, turns: 0 }
     }
 
     /// Tells the program something from outside.
--- a/crates/brassport-sim/src/kernel.rs
+++ b/crates/brassport-sim/src/kernel.rs
@@ -173,6 +173,8 @@
     dead: bool,
     frozen: bool,
     door: bool,
+    /// A program runs on it, which is woken; not a script, which is notified.
+    program: bool,
     /// Wakers that wait for a thaw.
     held: Vec<Waker>,
     /// Sockets that its processes hold.
@@ -289,7 +291,12 @@
 
     /// Makes a machine known. `door` ends are recorded for the oracle.
     pub fn add_machine(&self, host: Host, door: bool) {
-        self.0.borrow_mut().machines.insert(host, Machine { door, ..Machine::default() });
+        self.0.borrow_mut().machines.insert(host, Machine { door, program: door, ..Machine::default() });
+    }
+
+    /// Makes a machine known that runs a program, whose ends are not recorded.
+    pub fn add_server(&self, host: Host) {
+        self.0.borrow_mut().machines.insert(host, Machine { program: true, ..Machine::default() });
     }
 
     /// Goes on to the next event and carries it out, if it is due by `until`. `None` when there is none; a
@@ -609,8 +616,8 @@
         }
     }
 
-    fn is_door(&self, host: Host) -> bool {
-        self.machines.get(&host).is_some_and(|machine| machine.door)
+    fn runs_program(&self, host: Host) -> bool {
+        self.machines.get(&host).is_some_and(|machine| machine.program)
     }
 
     /// Wakes a task of a host, or notes the waker until the host's thaw.
@@ -705,7 +712,7 @@
             }
             return;
         }
-        if self.is_door(host) {
+        if self.runs_program(host) {
             self.wake(host, waker);
         } else {
             self.notices.push_back((host, Notice::Connected(End { conn: id, side: 0 }, up)));
@@ -766,7 +773,7 @@
         let side = &mut self.conns[to.conn.0].sides[to.side];
         let reader = side.reader.take();
         let writer = if side.broken { side.writer.take() } else { None };
-        if self.is_door(host) {
+        if self.runs_program(host) {
             self.wake(host, reader);
             self.wake(host, writer);
         } else {
--- a/crates/brassport-sim/src/lib.rs
+++ b/crates/brassport-sim/src/lib.rs
@@ -17,6 +17,7 @@
 #![forbid(unsafe_code)]
 
 mod agent;
+mod api;
 pub mod campaign;
 mod client;
 mod door;
--- a/crates/brassport-sim/src/oracle.rs
+++ b/crates/brassport-sim/src/oracle.rs
@@ -1,6 +1,7 @@
 //! The five rules, checked after every event from what passed on the simulated wire and what the nodes executed.
 //! Nothing here asks the front door.
 
+use crate::api::is_api;
 use crate::http::{Message, Parser};
 use crate::kernel::{End, Host, Kernel, Nanos, Passed, MS};
 use crate::site::{node_of_answer, Figures};
@@ -50,6 +51,9 @@
     Spin,
     /// The program does not panic, and ends only when told to.
     Crash,
+    /// What a source of nodes reports is so: no living node is dropped, no drained one comes back, no cold one is
+    /// called warm.
+    Nodes,
 }
 
 impl std::fmt::Display for Rule {
@@ -64,6 +68,7 @@
             Rule::Leak => "leak",
             Rule::Spin => "spin",
             Rule::Crash => "crash",
+            Rule::Nodes => "nodes",
         })
     }
 }
@@ -128,6 +133,8 @@
         back: Parser,
         broken: bool,
     },
+    /// Bytes of Nomad's API that may begin a word of what must get nothing new.
+    Api(Vec<u8>),
 }
 
 #[derive(Default)]
@@ -336,6 +343,20 @@
         figures.cold_from + (1.0 - figures.cold_from) * ramp
     }
 
+    /// A door was told of a node's start.
+    pub fn start_told(&mut self, door: Host, uid: &str) {
+        if let Some(view) = self.doors.get_mut(&door) {
+            view.started.insert(uid.into());
+        }
+    }
+
+    /// A node is at this address, as Nomad has it; the doors may be told from now on.
+    pub fn node_at(&mut self, uid: &str, address: SocketAddr) {
+        for view in self.doors.values_mut() {
+            view.told.entry(uid.into()).or_insert((0, address, None));
+        }
+    }
+
     /// A door's discovery moves: another agent's revisions are numbers of their own.
     pub fn door_moved(&mut self, door: Host) {
         if let Some(view) = self.doors.get_mut(&door) {
@@ -423,6 +444,8 @@
                     current: None,
                     begun: None,
                 }
+            } else if is_api(to) {
+                Role::Api(Vec::new())
             } else {
                 Role::Discovery { back: Parser::default(), broken: false }
             }
@@ -482,6 +505,17 @@
                     }
                 }
             }
+            Role::Api(begun) => {
+                begun.extend_from_slice(bytes);
+                let (told, rest) = told_by_api(begun);
+                *begun = rest;
+                let Some(view) = self.doors.get_mut(&door) else { return };
+                for uid in told {
+                    if let Some(told) = view.told.get_mut(&uid) {
+                        told.2 = Some(told.2.unwrap_or(now));
+                    }
+                }
+            }
             Role::Discovery { back, broken } => {
                 if *broken {
                     return;
@@ -587,7 +621,7 @@
                     }
                 }
             }
-            Role::Discovery { .. } => {}
+            Role::Discovery { .. } | Role::Api(_) => {}
         }
     }
 
@@ -803,7 +837,7 @@
                     }
                 }
             }
-            Role::Discovery { .. } => {}
+            Role::Discovery { .. } | Role::Api(_) => {}
         }
     }
 
@@ -815,3 +849,18 @@
         })
     }
 }
+
+/// Names that stand between two `@` in what an API server sent, as its stand-in writes whom it tells to be off; and
+/// the bytes that may begin one more.
+fn told_by_api(bytes: &[u8]) -> (Vec<String>, Vec<u8>) {
+    let mut told = Vec::new();
+    let mut rest = bytes;
+    while let Some(from) = rest.iter().position(|byte| *byte == b'@') {
+        let Some(long) = rest[from + 1..].iter().position(|byte| *byte == b'@') else {
+            return (told, rest[from..].to_vec());
+        };
+        told.push(String::from_utf8_lossy(&rest[from + 1..from + 1 + long]).into_owned());
+        rest = &rest[from + long + 2..];
+    }
+    (told, Vec::new())
+}
--- a/crates/brassport/src/lib.rs
+++ b/crates/brassport/src/lib.rs
@@ -42,4 +42,4 @@
 mod revisions;
 mod shutdown;
 
-pub use program::{front_door, front_door_with, Control, Inspection};
+pub use program::{front_door, front_door_with, Control, Inspection, Look};
--- a/crates/brassport/src/program.rs
+++ b/crates/brassport/src/program.rs
@@ -36,6 +36,9 @@
 const CLOSING: Duration = Duration::from_millis(3000);
 const LAST_WORDS: Duration = Duration::from_millis(100);
 
+/// Who looks at the book of nodes.
+pub type Look = Box<dyn FnOnce(&Book, Moment)>;
+
 /// What a front door is told while it runs.
 pub enum Control {
     /// End in order, as on SIGTERM.
@@ -47,7 +50,7 @@
     /// What one of the host's own sources of nodes reports, by its place in [`Config::sources`].
     Report(usize, Report),
     /// Look at the book of nodes.
-    Book(Box<dyn FnOnce(&Book, Moment)>),
+    Book(Look),
     /// The configuration was read anew, as on SIGHUP, with what was wrong with it if it was.
     Reload(Box<Result<Config, String>>),
 }
