Tell drains before the first whole list, and mend what the Nomad simulation found

Cause: with Nomad the simulation found drains that were told and not kept: a report went through the queue of controls behind requests that had come later; a stream was dropped with lines unread when a list failed; nothing was reported before the first fresh list; an empty first list was believed at once. Cold nodes were called warm while their allocation was not known.

Change: sources feed the book on the front door's thread directly (Origin::feed), a connection to the API is driven by the task that uses it, the stream is read while allocations are asked for, what is off is told early, an empty first list waits as any other, a node of an unknown allocation counts as started when it came, and a server that answers a blocking query at once is not asked in a loop.

--- a/crates/brassport-appliance/src/run.rs
+++ b/crates/brassport-appliance/src/run.rs
@@ -8,6 +8,7 @@
 use crate::site::{self, Site};
 use crate::Failure;
 use brassport::clock::SystemClock;
+use brassport::config::Origin;
 use brassport::network::Tcp;
 use brassport::{front_door_with, log, Control};
 use brassport_membership::book::{self, Entry, Report, Source};
@@ -133,7 +134,8 @@
             .event(format!("{unfinished} unsafe requests of an earlier life may have run; see `unfinished`"));
     }
     let seed = RandomState::new().build_hasher().finish();
-    let config = site.config(seed, vec![(Source::as_told("stored"), Some(stored(&state)))]);
+    let begin = Some(stored(&state));
+    let config = site.config(seed, vec![Origin { source: Source::as_told("stored"), begin, feed: None }]);
     let ended = LocalSet::new().block_on(&runtime, async {
         let (controls, control) = mpsc::unbounded_channel();
         let take = |kind| signal(kind).map_err(|error| format!("cannot take signals: {error}"));
--- a/crates/brassport-appliance/src/site.rs
+++ b/crates/brassport-appliance/src/site.rs
@@ -1,7 +1,6 @@
 //! The operators' own file, `appliance.toml`: checked, and turned into the front door's terms.
 
-use brassport::config::{Assumed, Config, Names};
-use brassport_membership::book::{Report, Source};
+use brassport::config::{Assumed, Config, Names, Origin};
 use serde::Deserialize;
 use springusher::{Class, Effect, Plan, Scope, Settings};
 use std::net::SocketAddr;
@@ -153,7 +152,7 @@
     }
 
     /// The front door's configuration, with the list of nodes that it starts with.
-    pub fn config(&self, seed: u64, sources: Vec<(Source, Option<Report>)>) -> Config {
+    pub fn config(&self, seed: u64, sources: Vec<Origin>) -> Config {
         Config {
             listen: self.listen,
             discovery: None,
--- a/crates/brassport-membership/src/nomad/follower.rs
+++ b/crates/brassport-membership/src/nomad/follower.rs
@@ -11,8 +11,8 @@
 //! | its client is ineligible, where the configuration says that this counts | draining |
 //! | else, `unknown` and `disconnected` among it: Nomad does not know, and nothing is proven | ready |
 //!
-//! A registration that is gone is withdrawn. One that comes behind the first list, and of whose allocation nothing is
-//! known, is taken for started when it came.
+//! A registration that is gone is withdrawn. One of whose allocation nothing is known is taken for started when it
+//! came: a token that cannot read allocations makes the whole fleet look cold at each start of the front door.
 
 use super::api::{self, Alloc, Change, Client, Line, Service, Unreadable};
 use crate::book::{Entry, Moment, Report, State};
@@ -25,6 +25,9 @@
 /// must count within the 500 ms that a drain has.
 pub const PATIENCE: Millis = 250;
 
+/// No address of a node.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+
 /// Which list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum List {
@@ -91,7 +94,7 @@
     allocs: Table<Alloc>,
     on_client: BTreeMap<String, BTreeSet<Id>>,
     of_alloc: BTreeMap<String, BTreeSet<Id>>,
-    /// By registration: its client, its allocation, and Unix time at which it came if that was behind the first list.
+    /// By registration: its client, its allocation, and the Unix time at which it came.
     links: BTreeMap<Id, Link>,
     dirty: BTreeSet<Id>,
     excused: BTreeSet<List>,
@@ -102,7 +105,7 @@
 struct Link {
     client: String,
     alloc: String,
-    came: Option<u64>,
+    came: u64,
 }
 
 impl Follower {
@@ -201,7 +204,8 @@
                 });
             }
             Change::Deregistered(service) => self.services_change(now, |table, changed| {
-                if table.tell(now.monotonic, &service.id, index, None) {
+                let is_news = table.row(&service.id).is_none();
+                if table.tell(now.monotonic, &service.id, index, None) || is_news {
                     changed.push(service.id.as_str().into());
                 }
             }),
@@ -234,7 +238,7 @@
         let mut changed = Vec::new();
         let result = change(&mut self.services, &mut changed);
         for id in changed {
-            let came = self.links.get(&id).map_or(self.reported_whole.then_some(now.unix), |link| link.came);
+            let came = self.links.get(&id).map_or(now.unix, |link| link.came);
             if let Some(alloc) = self.unlink(&id).filter(|_| self.services.get(&id).is_none()) {
                 self.forget_alloc(now, &alloc);
             }
@@ -289,16 +293,18 @@
         self.reported_whole
     }
 
-    /// What is news since the last report: `None` before there was a whole list of each kind that can be had or
-    /// [`PATIENCE`] was over, and where nothing has changed.
+    /// What is news since the last report; `None` where nothing is. The first whole report waits for a whole list of
+    /// each kind that can be had, or [`PATIENCE`]; what must get nothing new is told before.
     pub fn report(&mut self, now: Moment) -> Option<Report> {
-        self.services.index()?;
+        if self.services.index().is_none() {
+            return self.early();
+        }
         let waited = now.monotonic.saturating_sub(*self.first_list.get_or_insert(now.monotonic));
         let told = |list, index: Option<u64>| index.is_some() || self.excused.contains(&list);
         // Guards a node that drains, or is cold, against requests while only its registration is known.
         let all = told(List::Clients, self.clients.index()) && told(List::Allocs, self.allocs.index());
-        if !all && waited < PATIENCE {
-            return None;
+        if !self.reported_whole && !all && waited < PATIENCE {
+            return self.early();
         }
         let whole = !std::mem::replace(&mut self.reported_whole, true);
         let dirty = std::mem::take(&mut self.dirty);
@@ -335,6 +341,24 @@
         self.services.remembered() + self.clients.remembered() + self.allocs.remembered()
     }
 
+    /// What is told before the first whole report. Guards nodes that the front door knows from an earlier time: a
+    /// stream or a stale list may tell that they drain or went long before there is a list that is fresh.
+    fn early(&mut self) -> Option<Report> {
+        let dirty = std::mem::take(&mut self.dirty);
+        let off = |id: Id| match self.services.get(&id) {
+            Some(service) => Some(self.entry(&id, service)).filter(|entry| entry.state != State::Ready),
+            None => Some(Entry {
+                address: None,
+                state: State::Gone,
+                revision: self.services.row(&id).map_or(0, |row| row.revision),
+                note: "its registration was removed".into(),
+                ..Entry::ready(&id, NOWHERE)
+            }),
+        };
+        let entries: Vec<Entry> = dirty.into_iter().filter_map(off).collect();
+        (!entries.is_empty()).then(|| Report::changes(entries))
+    }
+
     fn entry(&self, id: &Id, service: &Service) -> Entry {
         let client = self.clients.row(&service.node);
         let alloc = self.allocs.row(&service.alloc);
@@ -342,7 +366,8 @@
             [service.modify_index, client.map_or(0, |row| row.revision), alloc.map_or(0, |row| row.revision)];
         let (state, note) = self.state(client, alloc);
         let started = alloc.and_then(|row| row.told.as_ref()).map(Alloc::boot_ms);
-        let came = self.links.get(id).and_then(|link| link.came).map(|at| at as f64);
+        // Guards a node that may be cold while its allocation is not known.
+        let came = self.links.get(id).map(|link| link.came as f64);
         let address = service.address.parse::<IpAddr>().ok().filter(|_| service.port != 0);
         let tag = |name: &str| {
             service.tags.iter().find_map(|tag| tag.strip_prefix(name)?.strip_prefix('=')).map(str::trim)
--- a/crates/brassport-membership/src/table.rs
+++ b/crates/brassport-membership/src/table.rs
@@ -37,7 +37,7 @@
 pub struct Rules {
     /// So long a source must tell lists that are behind before its numbers count as begun anew.
     pub behind_for: Millis,
-    /// So long a source that has told rows must tell an empty list before they are gone.
+    /// So long a source must tell an empty list, as its first or after rows, before it counts.
     pub empty_for: Millis,
     /// Rows that are gone and still remembered, at the most; the oldest are forgotten.
     pub most_gone: usize,
@@ -211,7 +211,8 @@
         if behind && !anew {
             return Taken::Behind;
         }
-        if rows.is_empty() && !self.is_empty() && !mutant!(TrustEmptyList) {
+        // A first list that is empty is as strange as any: the front door may know nodes from an earlier time.
+        if rows.is_empty() && (!self.is_empty() || self.index.is_none()) && !mutant!(TrustEmptyList) {
             let since = *self.empty_since.get_or_insert(now);
             if now.saturating_sub(since) < self.rules.empty_for {
                 return Taken::Empty;
--- a/crates/brassport-nomad/src/source.rs
+++ b/crates/brassport-nomad/src/source.rs
@@ -1,17 +1,18 @@
 //! The source: the tasks that ask, each at one server at a time.
 
-use crate::http::{whole, Connection, Security};
+use crate::http::{get, open, Open, Security};
 use brassport::clock::Clock;
 use brassport::network::Network;
 use brassport_membership::book::{Moment, Report};
 use brassport_membership::nomad::follower::{Follower, List, Meta, Next, Options};
 use brassport_membership::nomad::lines::Lines;
 use brassport_membership::table::Taken;
-use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, RETRY_AFTER};
-use hyper::StatusCode;
+use hyper::{Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::convert::Infallible;
 use std::fmt;
 use std::future::Future;
 use std::io;
@@ -256,7 +257,7 @@
         let mut connection = None;
         let (mut index, mut back_off) = (0, FIRST_BACK_OFF);
         loop {
-            let server = self.server.get();
+            let (server, asked) = (self.server.get(), self.clock.now());
             match self.list(&mut connection, server, list, index).await {
                 Ok((taken, next, took)) => {
                     back_off = FIRST_BACK_OFF;
@@ -270,9 +271,11 @@
                                 self.restored(server);
                             }
                             self.is_well(part);
+                            // Guards a server that answers at once with nothing new, whatever it is asked.
+                            let idle = from == index && !self.has_waited(asked);
+                            let least = if idle { AGAIN } else { PACE };
                             index = from;
-                            let pace = (took * PACE_FACTOR).clamp(PACE, MOST_PACE);
-                            self.clock.sleep(pace).await;
+                            self.clock.sleep((took * PACE_FACTOR).clamp(least, MOST_PACE)).await;
                         }
                         Next::Again => {
                             (connection, index) = (None, 0);
@@ -292,6 +295,11 @@
         }
     }
 
+    /// Whether a blocking query took at least half of its wait.
+    fn has_waited(&self, asked: Instant) -> bool {
+        self.clock.now().saturating_duration_since(asked) >= self.settings.wait / 2
+    }
+
     /// Notes a failure, turns to the next server, and waits.
     async fn failed(&self, part: Part, server: usize, problem: &Problem, back_off: &mut Duration) {
         self.trouble(part, server, problem);
@@ -307,7 +315,7 @@
     /// Asks for one list and takes the answer in. How long that took.
     async fn list(
         &self,
-        connection: &mut Option<Connection>,
+        connection: &mut Option<Open>,
         server: usize,
         list: List,
         index: u64,
@@ -328,7 +336,9 @@
         let call = async {
             let answer = self.get(connection, server, &path).await?;
             let meta = meta(answer.headers())?;
-            Ok::<_, Problem>((meta, whole(answer, LIST_LIMIT).await?))
+            let open = connection.as_mut().ok_or_else(Problem::broken)?;
+            let body = open.rest(answer.into_body(), LIST_LIMIT).await.map_err(|_| Problem::broken())?;
+            Ok::<_, Problem>((meta, body.ok_or_else(|| Problem::too_long(LIST_LIMIT))?))
         };
         // Guards against a server that is silent, or stops within its answer.
         let (meta, body) = self.in_time(most, call).await?;
@@ -342,17 +352,25 @@
 
     async fn get(
         &self,
-        connection: &mut Option<Connection>,
+        connection: &mut Option<Open>,
         server: usize,
         path: &str,
-    ) -> Result<hyper::Response<hyper::body::Incoming>, Problem> {
+    ) -> Result<Response<Incoming>, Problem> {
         let address = self.settings.servers[server].address;
         let token = self.token.read().map_err(|text| Problem::new("token", text))?;
-        let open = match connection.take().filter(Connection::is_usable) {
-            Some(open) => open,
-            None => self.in_time(CONNECT, Connection::open(&self.network, address, &self.security)).await?,
+        if let Some(standing) = connection {
+            if !standing.is_usable().await {
+                *connection = None;
+            }
+        }
+        let standing = match connection {
+            Some(standing) => standing,
+            None => {
+                let standing = self.in_time(CONNECT, open(&self.network, address, &self.security)).await?;
+                connection.insert(standing)
+            }
         };
-        connection.insert(open).get(&address.to_string(), path, token.as_deref()).await
+        get(standing, &address.to_string(), path, token.as_deref()).await
     }
 
     async fn in_time<T>(
@@ -390,37 +408,45 @@
         }
     }
 
-    async fn follow_stream(&self, server: usize) -> Result<std::convert::Infallible, Problem> {
+    async fn follow_stream(&self, server: usize) -> Result<Infallible, Problem> {
         let service = &self.settings.options.service;
         let from = self.follower.borrow().index(List::Services);
         let path = self.path("/v1/event/stream".into(), true);
         let path = format!("{path}&topic=Service:{service}&topic=Node:*&topic=Allocation:*&index={from}");
         let mut connection = None;
         let answer = self.in_time(ANSWER, self.get(&mut connection, server, &path)).await;
-        let answer = match answer {
-            Ok(answer) => answer,
+        let body = match answer {
+            Ok(answer) => answer.into_body(),
             Err(problem) => {
-                // The lists go on without the stream, and what runs is looked at all the same.
-                self.allocs(server).await?;
+                // The lists go on without the stream, and what runs is looked at all the same, elsewhere.
+                self.leave(server);
+                self.allocs(self.server.get()).await?;
                 return Err(problem);
             }
         };
-        self.allocs(server).await?;
-        let mut body = answer.into_body();
+        let open = connection.ok_or_else(Problem::broken)?;
+        // What the stream tells counts from when it is there, whatever becomes of the list meanwhile.
+        tokio::select! {
+            biased;
+            end = self.read_stream(open, body) => end,
+            never = self.allocs_until_known() => match never {},
+        }
+    }
+
+    /// Takes in the lines of a stream until it ends.
+    async fn read_stream(&self, mut open: Open, mut body: Incoming) -> Result<Infallible, Problem> {
         let mut lines = Lines::new(LINE_LIMIT);
         loop {
             // Guards against a connection that is open and dead: the servers send heartbeats.
-            let frame = self.clock.timeout(self.settings.silence, body.frame()).await;
-            let frame = match frame {
+            let bytes = match self.clock.timeout(self.settings.silence, open.next(&mut body)).await {
                 None => {
                     let silence = self.settings.silence.as_secs_f64();
                     return Err(Problem::new("silent", format!("sent nothing for {silence} s")));
                 }
-                Some(None) => return Err(Problem::new("ended", "ended the stream".into())),
-                Some(Some(Err(_))) => return Err(Problem::broken()),
-                Some(Some(Ok(frame))) => frame,
+                Some(Ok(None)) => return Err(Problem::new("ended", "ended the stream".into())),
+                Some(Err(_)) => return Err(Problem::broken()),
+                Some(Ok(Some(bytes))) => bytes,
             };
-            let Ok(bytes) = frame.into_data() else { continue };
             self.is_well(Part::Stream);
             let (mut follower, now) = (self.follower.borrow_mut(), self.now());
             let mut unreadable = None;
@@ -456,6 +482,18 @@
         Ok(())
     }
 
+    /// Looks at what runs until that has succeeded once, and is never ready.
+    async fn allocs_until_known(&self) -> Infallible {
+        let mut back_off = FIRST_BACK_OFF;
+        loop {
+            let server = self.server.get();
+            match self.allocs(server).await {
+                Ok(()) => std::future::pending().await,
+                Err(problem) => self.failed(Part::List(List::Allocs), server, &problem, &mut back_off).await,
+            }
+        }
+    }
+
     fn publish(&self) {
         let report = self.follower.borrow_mut().report(self.now());
         if let Some(report) = report {
--- a/crates/brassport-sim/src/agent.rs
+++ b/crates/brassport-sim/src/agent.rs
@@ -45,6 +45,11 @@
         self.revisions.push(list);
     }
 
+    /// The newest list.
+    pub fn now(&self) -> &[Entry] {
+        self.list(self.revision())
+    }
+
     fn list(&self, revision: u64) -> &[Entry] {
         &self.revisions[(revision.max(1) - 1) as usize]
     }
--- a/crates/brassport-sim/src/site.rs
+++ b/crates/brassport-sim/src/site.rs
@@ -445,6 +445,9 @@
             None => Process::start(&self.kernel, host.host, host.wall.clone(), &text),
             Some(api) => {
                 api.door_started(host.host);
+                for entry in self.registry.now() {
+                    self.oracle.node_at(&entry.uid, entry.address);
+                }
                 let seed = self.scenario.seed.wrapping_mul(31).wrapping_add(host.starts * 8 + door as u64);
                 Process::start_with_nomad(&self.kernel, host.host, host.wall.clone(), &text, api, seed)
             }
--- a/crates/brassport-standin/src/cluster.rs
+++ b/crates/brassport-standin/src/cluster.rs
@@ -189,13 +189,13 @@
     }
 
     /// A table's rows as the API lists them. What they tell of nodes that must get nothing new stands behind
-    /// everything else.
-    pub fn list(&self, table: Table) -> String {
+    /// everything else; an absence tells something only if the server vouches for its state.
+    pub fn list(&self, table: Table, vouches: bool) -> String {
         let rows: Vec<&Value> =
             self.tables.get(&table).into_iter().flatten().map(|(_, row)| &**row).collect();
         let mut text = serde_json::to_string(&rows).unwrap_or_default();
         let is_told = |name: &&String| match table {
-            Table::Services => self.row(Table::Services, name).is_none(),
+            Table::Services => vouches && self.row(Table::Services, name).is_none(),
             Table::Clients => {
                 let client = self.row(Table::Services, name).and_then(|row| row["NodeID"].as_str());
                 client.and_then(|id| self.row(Table::Clients, id)).is_some_and(|row| row["Drain"] == true)
--- a/crates/brassport/src/config.rs
+++ b/crates/brassport/src/config.rs
@@ -4,7 +4,10 @@
 use brassport_membership::book::{Report, Source};
 use serde::Deserialize;
 use springusher::{Class, Effect, Plan, Scope, Settings};
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 use std::{env, fs};
 
@@ -13,9 +16,8 @@
     pub listen: SocketAddr,
     /// Where the platform's list of nodes is watched; the first source of nodes, if there is one.
     pub discovery: Option<SocketAddr>,
-    /// Further sources of nodes, which the host tells as [`Control::Report`](crate::Control), and what each says at
-    /// the start.
-    pub sources: Vec<(Source, Option<Report>)>,
+    /// Further sources of nodes.
+    pub sources: Vec<Origin>,
     pub seed: u64,
     pub sockets: usize,
     /// Bytes.
@@ -32,6 +34,20 @@
     pub assumed: Option<Assumed>,
 }
 
+/// Takes what a source reports.
+pub type Reader = Rc<dyn Fn(Report)>;
+/// What runs on the front door's thread to follow a source, for as long as the front door does.
+pub type Feed = Box<dyn FnOnce(Reader) -> Pin<Box<dyn Future<Output = ()>>>>;
+
+/// A source of nodes of the host's. It reports by its feed, or from another thread as
+/// [`Control::Report`](crate::Control).
+pub struct Origin {
+    pub source: Source,
+    /// What it says at the start.
+    pub begin: Option<Report>,
+    pub feed: Option<Feed>,
+}
+
 /// Stands in for headers that a request lacks: its class is the path's first segment, its time the class's, its size
 /// one unit, its plan this one, and a request that is safe to repeat needs no id. What is there must make sense.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/brassport/src/connection.rs
+++ b/crates/brassport/src/connection.rs
@@ -2,8 +2,8 @@
 //! dropping it has closed the socket.
 
 use crate::mutants::mutant;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Bytes};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -36,6 +36,10 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin + 'static> Connection<S> {
+    /// A connection that is up, at its start.
+    ///
+    /// # Errors
+    /// hyper takes no such stream.
     pub async fn over(stream: S) -> io::Result<Connection<S>> {
         // Guards the memory against heads that do not end.
         let mut builder = http1::Builder::new();
@@ -45,19 +49,16 @@
     }
 
     /// Sends one request and waits for its whole answer, of `most` bytes at the most.
+    ///
+    /// # Errors
+    /// There is no whole answer; how much of the request may have been written.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
         most: usize,
     ) -> Result<Response<Bytes>, Failure> {
-        let Connection { sender, driver } = self;
-        // hyper hands a request back only if it never began to write it.
-        let answer = sender.try_send_request(request);
-        let answer = drive(driver, answer).await.map_err(|mut error| match error.take_message() {
-            Some(_) => Failure::Unsent,
-            None => Failure::Broken,
-        })?;
-        let (head, body) = answer.into_parts();
+        let (head, body) = self.begin(request).await?.into_parts();
+        let driver = &mut self.driver;
         if body.size_hint().lower() > most as u64 {
             return Err(Failure::Broken);
         }
@@ -75,6 +76,50 @@
         Ok(Response::from_parts(head, body))
     }
 
+    /// Sends one request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// As [`exchange`](Connection::exchange).
+    pub async fn begin(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        let Connection { sender, driver } = self;
+        // hyper hands a request back only if it never began to write it.
+        let answer = sender.try_send_request(request);
+        drive(driver, answer).await.map_err(|mut error| match error.take_message() {
+            Some(_) => Failure::Unsent,
+            None => Failure::Broken,
+        })
+    }
+
+    /// The whole body of an answer that has begun, of `most` bytes at the most; `None` if it is longer.
+    ///
+    /// # Errors
+    /// The body was cut short.
+    pub async fn rest(&mut self, body: Incoming, most: usize) -> Result<Option<Bytes>, Failure> {
+        match drive(&mut self.driver, Limited::new(body, most).collect()).await {
+            Ok(body) => Ok(Some(body.to_bytes())),
+            Err(error) if error.is::<LengthLimitError>() => Ok(None),
+            Err(_) => Err(Failure::Broken),
+        }
+    }
+
+    /// What comes next of a body that has begun; `None` at its end.
+    ///
+    /// # Errors
+    /// The body was cut short.
+    pub async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Failure> {
+        loop {
+            match drive(&mut self.driver, body.frame()).await {
+                None => return Ok(None),
+                Some(Err(_)) => return Err(Failure::Broken),
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Ok(Some(bytes));
+                    }
+                }
+            }
+        }
+    }
+
     /// Whether the connection stands and can take a request. Guards against sending into a connection
     /// that the peer has closed while it was idle: polling it sees the end that has come in meanwhile.
     pub async fn is_usable(&mut self) -> bool {
--- a/crates/brassport/src/lib.rs
+++ b/crates/brassport/src/lib.rs
@@ -27,7 +27,7 @@
 mod clients;
 pub mod clock;
 pub mod config;
-mod connection;
+pub mod connection;
 mod connections;
 mod date;
 pub mod discovery;
--- a/crates/brassport/src/program.rs
+++ b/crates/brassport/src/program.rs
@@ -4,7 +4,7 @@
 use crate::backends::Backends;
 use crate::clients::{self, Context};
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Config, Origin};
 use crate::connections::Connections;
 use crate::date::DateHeader;
 use crate::discovery::Watch;
@@ -136,16 +136,20 @@
         .map_err(|error| error.to_string())?;
     let platform = config.discovery.map(|_| Source::as_told("platform"));
     let first = usize::from(platform.is_some());
-    let (told, reports): (Vec<_>, Vec<_>) = config.sources.into_iter().unzip();
+    let told = config.sources.iter().map(|origin| origin.source.clone());
     let sources = platform.into_iter().chain(told).collect();
     let members = Rc::new(Members::new(clock.clone(), sources, door.clone()));
     if let Some(known) = config.known {
         door.servers(ListKind::Cached, &known.report().entries);
     }
-    for (place, report) in reports.into_iter().enumerate() {
-        if let Some(report) = report {
+    for (place, Origin { begin, feed, .. }) in config.sources.into_iter().enumerate() {
+        if let Some(report) = begin {
             members.take(first + place, report);
         }
+        if let Some(feed) = feed {
+            let members = members.clone();
+            spawn_local(feed(Rc::new(move |report| members.take(first + place, report))));
+        }
     }
     spawn_local(door.clone().keep_time());
     let discovery = config.discovery.map(|address| {
