--- a/crates/brassport-appliance/src/client.rs
+++ b/crates/brassport-appliance/src/client.rs
@@ -90,7 +90,7 @@
 }
 
 fn ask_state(place: &Place, ask: Ask) -> Result<Value, Failure> {
-    if let Ask::Status | Ask::Stop { .. } | Ask::Subscribe = ask {
+    if let Ask::Status | Ask::Book | Ask::Stop { .. } | Ask::Subscribe = ask {
         return Err(Failure::not_running(place));
     }
     let _lock = run::lock(place)?;
@@ -122,7 +122,9 @@
             store.snapshot().and_then(|all| all.copy_to(&files, &name)).map_err(failed)?;
             Value::Null
         }
-        Ask::Status | Ask::Stop { .. } | Ask::Subscribe => return Err(Failure::not_running(place)),
+        Ask::Status | Ask::Book | Ask::Stop { .. } | Ask::Subscribe => {
+            return Err(Failure::not_running(place))
+        }
     })
 }
 
--- a/crates/brassport-appliance/src/command.rs
+++ b/crates/brassport-appliance/src/command.rs
@@ -2,8 +2,9 @@
 
 use crate::client::{self, Client};
 use crate::place::{Place, STATE};
-use crate::protocol::{Ask, History, Nodes, Plans, Status, Unfinished};
-use crate::{console, run, trial, Failure};
+use crate::protocol::{Ask, BookNow, History, Nodes, Plans, Status, Unfinished};
+use crate::{console, control, run, serve, trial, Failure};
+use brassport_membership::book::{Explanation, State as Lists};
 use brassport_state::model::{Action, Change, Lifecycle, NewNode};
 use brassport_state::store::Done;
 use clap::{Args, CommandFactory, Parser, Subcommand};
@@ -57,6 +58,17 @@
     },
     /// Serve, in the foreground, until `stop`, SIGTERM or Ctrl-C. A second one ends at once.
     Run,
+    /// Serve without a state directory, with the nodes that the sources in the file tell of.
+    Serve {
+        /// As `appliance.toml`, with at least one [[source]].
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Check a configuration, and the files that it names, without starting.
+    CheckConfig {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
     /// Watch the running appliance, and change it, from this terminal.
     Console,
     /// Show the running appliance.
@@ -107,8 +119,12 @@
 
 #[derive(Debug, Subcommand)]
 enum NodesCommand {
-    /// Show the list.
+    /// Show the list that is stored here.
     List,
+    /// Show what all sources together say, and how old that is.
+    Book,
+    /// Say why a node is listed as it is: what each source says of it.
+    Why { name: String },
     /// Add a node. It starts cold, with little work, unless it has been running.
     Add {
         name: String,
@@ -206,6 +222,13 @@
             })
         }
         Command::Run => run::run(&place),
+        Command::Serve { config } => serve::serve(&config),
+        Command::CheckConfig { file } => {
+            let sources = serve::check(&file)?.sources.len();
+            show(json, &serde_json::json!({ "sources": sources }), |out| {
+                writeln!(out, "{} is good, with {sources} sources", file.display())
+            })
+        }
         Command::Console => console::run(&place, &AtomicBool::new(false)),
         Command::Status => {
             let value = ask(Ask::Status)?;
@@ -217,6 +240,17 @@
             let nodes: Nodes = read(&value)?;
             show(json, &value, |out| print_nodes(out, &nodes))
         }
+        Command::Nodes(NodesCommand::Book) => {
+            let value = ask(Ask::Book)?;
+            let book: BookNow = read(&value)?;
+            show(json, &value, |out| print_book(out, &book))
+        }
+        Command::Nodes(NodesCommand::Why { name }) => {
+            let book: BookNow = read(&ask(Ask::Book)?)?;
+            let node = book.nodes.into_iter().find(|node| node.id == name);
+            let node = node.ok_or_else(|| Failure::failed(format!("no source lists a node '{name}'")))?;
+            show(json, &control::value(&node), |out| print_node(out, &node))
+        }
         Command::Nodes(command) => {
             let (action, options) = node_change(command)?;
             change(&place, json, action, options)
@@ -292,6 +326,50 @@
     }
 }
 
+fn word(state: Lists) -> &'static str {
+    match state {
+        Lists::Ready => "ready",
+        Lists::Draining => "draining",
+        Lists::Gone => "gone",
+    }
+}
+
+/// An age in the largest unit that leaves a whole number.
+fn age(ms: u64) -> String {
+    match ms {
+        0..1_000 => format!("{ms} ms"),
+        1_000..120_000 => format!("{} s", ms / 1_000),
+        120_000..7_200_000 => format!("{} min", ms / 60_000),
+        _ => format!("{} h", ms / 3_600_000),
+    }
+}
+
+fn print_book(out: &mut dyn Write, book: &BookNow) -> io::Result<()> {
+    for source in &book.sources {
+        let heard =
+            source.heard_ms.map_or("not heard of yet".to_string(), |ms| format!("heard {} ago", age(ms)));
+        let whole = if source.told { "" } else { ", no whole list yet" };
+        writeln!(out, "source {:<16} {} nodes, {heard}{whole}", source.name, source.nodes)?;
+    }
+    for node in &book.nodes {
+        let at = node.address.map_or("-".to_string(), |at| at.to_string());
+        let (state, since) = (word(node.state), age(node.age_ms));
+        writeln!(out, "{:<24} {at:<22} {state:<9} {since:>8}  {}", node.id, node.because)?;
+    }
+    Ok(())
+}
+
+fn print_node(out: &mut dyn Write, node: &Explanation) -> io::Result<()> {
+    writeln!(out, "{} is {} for {}: {}", node.id, word(node.state), age(node.age_ms), node.because)?;
+    for said in &node.words {
+        let at = said.address.map_or("no address".to_string(), |at| at.to_string());
+        let note = if said.note.is_empty() { String::new() } else { format!(" ({})", said.note) };
+        let (says, since) = (word(said.says), age(said.age_ms));
+        writeln!(out, "  {:<16} {says}{note} at {at}, revision {}, {since} ago", said.source, said.revision)?;
+    }
+    Ok(())
+}
+
 fn ask_listen() -> Result<SocketAddr, Failure> {
     const USUAL: &str = "127.0.0.1:8080";
     let mut text = String::new();
@@ -333,7 +411,7 @@
         NodesCommand::Resume { name, change } => (Action::ResumeNode { name }, change),
         NodesCommand::Remove { name, change } => (Action::RemoveNode { name }, change),
         NodesCommand::Import { file, change } => (Action::ImportNodes { nodes: import(&file)? }, change),
-        NodesCommand::List => unreachable!("is no change"),
+        NodesCommand::List | NodesCommand::Book | NodesCommand::Why { .. } => unreachable!("is no change"),
     })
 }
 
--- a/crates/brassport-appliance/src/control.rs
+++ b/crates/brassport-appliance/src/control.rs
@@ -3,7 +3,9 @@
 
 use crate::keeper::{Job, News, Reply};
 use crate::looker::unix_ms;
-use crate::protocol::{self, Answer, Ask, Event, History, Nodes, PlanRow, Plans, Problem, Question, Status};
+use crate::protocol::{
+    self, Answer, Ask, BookNow, Event, History, Nodes, PlanRow, Plans, Problem, Question, Status,
+};
 use crate::protocol::{Unfinished, LINE_LIMIT, VERSION};
 use crate::site::Site;
 use brassport_state::model::{Action, State};
@@ -32,6 +34,7 @@
 pub enum Told {
     News(News),
     Status(oneshot::Sender<Status>),
+    Book(oneshot::Sender<BookNow>),
     Stop { now: bool },
 }
 
@@ -228,6 +231,12 @@
                     .map_err(|_| gone(()))?,
             )
         }
+        Ask::Book => {
+            let (reply, book) = oneshot::channel();
+            context.told.send(Told::Book(reply)).map_err(|_| gone(()))?;
+            let book = tokio::time::timeout(ANSWER, book).await;
+            value(book.map_err(|_| Problem::new("slow", "the door does not answer"))?.map_err(|_| gone(()))?)
+        }
         Ask::Change { mut change } => {
             (change.who, change.at_ms) = (who.to_string(), unix_ms());
             check_plan(&change.action, Some(&context.site))?;
--- a/crates/brassport-appliance/src/main.rs
+++ b/crates/brassport-appliance/src/main.rs
@@ -12,7 +12,9 @@
 mod place;
 mod protocol;
 mod run;
+mod serve;
 mod site;
+mod sources;
 mod trial;
 
 use clap::Parser;
--- a/crates/brassport-appliance/src/protocol.rs
+++ b/crates/brassport-appliance/src/protocol.rs
@@ -3,6 +3,7 @@
 //! `{"v":1,"id":7,"ask":"nodes"}` is answered by `{"id":7,"ok":{...}}` or
 //! `{"id":7,"error":{"code":"conflict","message":"..."}}`. Behind `subscribe` come lines `{"event":{...}}`.
 
+use brassport_membership::book::{Book, Explanation, Moment, SourceNow};
 use brassport_state::model::{Change, Lifecycle, Node};
 use brassport_state::store::{Entry, Sent};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,8 @@
 pub enum Ask {
     /// Everything that a console shows.
     Status,
+    /// The book of nodes: every source, and why each node is listed as it is.
+    Book,
     Nodes,
     Plans,
     /// A change of the state. `who` is filled in by the program from the caller's user.
@@ -209,3 +212,17 @@
     pub requests: Vec<RequestRow>,
     pub events: Vec<Event>,
 }
+
+/// The book of nodes as it is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BookNow {
+    pub sources: Vec<SourceNow>,
+    pub nodes: Vec<Explanation>,
+}
+
+impl BookNow {
+    pub fn of(book: &Book, now: Moment) -> BookNow {
+        let nodes = book.nodes().filter_map(|entry| book.explain(&entry.id, now));
+        BookNow { sources: book.sources(now), nodes: nodes.collect() }
+    }
+}
--- a/crates/brassport-appliance/src/run.rs
+++ b/crates/brassport-appliance/src/run.rs
@@ -4,14 +4,14 @@
 use crate::keeper::{self, Job, News};
 use crate::looker::{unix_ms, Looker};
 use crate::place::{LockError, Place, STATE};
-use crate::protocol::Status;
+use crate::protocol::{BookNow, Status};
 use crate::site::{self, Site};
 use crate::Failure;
 use brassport::clock::SystemClock;
 use brassport::config::Origin;
 use brassport::network::Tcp;
 use brassport::{front_door_with, log, Control};
-use brassport_membership::book::{self, Entry, Report, Source};
+use brassport_membership::book::{self, Book, Entry, Report, Source};
 use brassport_state::files::Directory;
 use brassport_state::model::{Action, Lifecycle, State};
 use brassport_state::store::Store;
@@ -135,7 +135,9 @@
     }
     let seed = RandomState::new().build_hasher().finish();
     let begin = Some(stored(&state));
-    let config = site.config(seed, vec![Origin { source: Source::as_told("stored"), begin, feed: None }]);
+    let mut sources = vec![Origin { source: Source::as_told("stored"), begin, feed: None }];
+    sources.extend(site.origins(seed).map_err(Failure::failed)?);
+    let config = site.config(seed, sources);
     let ended = LocalSet::new().block_on(&runtime, async {
         let (controls, control) = mpsc::unbounded_channel();
         let take = |kind| signal(kind).map_err(|error| format!("cannot take signals: {error}"));
@@ -163,6 +165,10 @@
                         }
                     }
                     Told::News(news) => take_news(&on, news, &controls),
+                    Told::Book(reply) => {
+                        let look = move |book: &Book, now| drop(reply.send(BookNow::of(book, now)));
+                        let _ = controls.send(Control::Book(Box::new(look)));
+                    }
                     Told::Status(reply) => ask_status(&on, ending, reply, &controls),
                 }
             }
--- a/crates/brassport-appliance/src/site.rs
+++ b/crates/brassport-appliance/src/site.rs
@@ -1,10 +1,12 @@
 //! The operators' own file, `appliance.toml`: checked, and turned into the front door's terms.
 
+use crate::sources::Written;
 use brassport::config::{Assumed, Config, Names, Origin};
 use serde::Deserialize;
 use springusher::{Class, Effect, Plan, Scope, Settings};
 use std::net::SocketAddr;
 use std::time::Duration;
+use toml::Spanned;
 
 /// The file's name within the state directory.
 pub const FILE: &str = "appliance.toml";
@@ -31,6 +33,9 @@
     zones: Vec<String>,
     class: Vec<FileClass>,
     plan: Vec<FilePlan>,
+    /// Sources of nodes.
+    #[serde(default)]
+    source: Vec<Spanned<Written>>,
 }
 
 fn sockets() -> usize {
@@ -90,6 +95,7 @@
     pub plans: Vec<String>,
     pub zones: Vec<String>,
     pub default_plan: usize,
+    pub sources: Vec<Written>,
     sockets: usize,
     memory_mb: usize,
 }
@@ -147,8 +153,33 @@
         if zones.is_empty() {
             zones.push(String::new());
         }
-        let (sockets, memory_mb) = (file.sockets, file.memory_mb);
-        Ok(Site { listen: file.listen, settings, classes, plans, zones, default_plan, sockets, memory_mb })
+        let mut sources: Vec<Written> = Vec::new();
+        for source in file.source {
+            let line = 1 + text[..source.span().start].matches('\n').count();
+            let source = source.into_inner();
+            let at = |problem| format!("line {line}: source '{}': {problem}", source.name());
+            if source.name().is_empty() || source.name() == "stored" {
+                return Err(at("name: not empty, and not 'stored'".to_string()));
+            }
+            if sources.iter().any(|known| known.name() == source.name()) {
+                return Err(at("name: stands there twice".to_string()));
+            }
+            source.check().map_err(at)?;
+            sources.push(source);
+        }
+        let (listen, sockets, memory_mb) = (file.listen, file.sockets, file.memory_mb);
+        Ok(Site { listen, settings, classes, plans, zones, default_plan, sources, sockets, memory_mb })
+    }
+
+    /// The operator's own sources of nodes.
+    ///
+    /// # Errors
+    /// A file that a source names has changed since it was checked.
+    pub fn origins(&self, seed: u64) -> Result<Vec<Origin>, String> {
+        let origin = |source: &Written| {
+            source.origin(seed).map_err(|problem| format!("source '{}': {problem}", source.name()))
+        };
+        self.sources.iter().map(origin).collect()
     }
 
     /// The front door's configuration, with the list of nodes that it starts with.
--- a/crates/brassport-membership/src/book.rs
+++ b/crates/brassport-membership/src/book.rs
@@ -17,7 +17,7 @@
 
 use crate::mutants::mutant;
 use crate::table::{Id, Millis};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -34,7 +34,7 @@
 }
 
 /// What may be sent to a node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// Requests.
@@ -168,7 +168,7 @@
 }
 
 /// One source's word on a node.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Word {
     /// The source's name.
     pub source: String,
@@ -187,7 +187,7 @@
 }
 
 /// Why a node is listed as it is.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Explanation {
     /// The node's name.
     pub id: String,
@@ -204,7 +204,7 @@
 }
 
 /// A source as it stands.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SourceNow {
     /// Its name.
     pub name: String,
--- a/crates/brassport/src/main.rs
+++ b/crates/brassport/src/main.rs
@@ -38,6 +38,9 @@
 The front door of a render fleet.
 
   brassport                  serve on the platform, as BALANCER_CONFIG says
+  brassport --config FILE    serve as the file says, with its sources of nodes (Nomad, a file)
+  brassport check-config FILE  check such a file without starting
+  brassport nodes book|why NAME  what the sources of a running appliance say
   brassport try              run a whole site on loopback, and watch it
   brassport appliance ...    the small-site appliance: init, run, console, nodes, ...; see --help there
   brassport --version        the version";
@@ -54,7 +57,8 @@
             println!("brassport {}", env!("CARGO_PKG_VERSION"));
             return ExitCode::SUCCESS;
         }
-        "try" => vec![OsString::from("try")],
+        "--config" => vec![OsString::from("serve"), OsString::from("--config")],
+        "try" | "check-config" | "nodes" => vec![OsString::from(first)],
         "appliance" => Vec::new(),
         _ => {
             eprintln!("brassport: '{first}' is no command; see --help");
