--- a/crates/brassport-appliance/src/command.rs
+++ b/crates/brassport-appliance/src/command.rs
@@ -60,7 +60,7 @@
     Run,
     /// Serve without a state directory, with the nodes that the sources in the file tell of.
     Serve {
-        /// As `appliance.toml`, with at least one [[source]].
+        /// As `appliance.toml`, with at least one table `source`.
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
     },
