Test that a drain told in a standstill counts for a connection that came up in it

Need: the mend of a drain read behind a connection that came up while the program stood still had no test of its own.

--- a/crates/brassport-sim/tests/runs.rs
+++ b/crates/brassport-sim/tests/runs.rs
@@ -25,6 +25,13 @@
     assert_eq!(digest(1), digest(2), "and each run can be played again");
 }
 
+#[test]
+fn a_drain_told_while_the_door_stands_still_counts_for_a_connection_that_came_up_meanwhile() {
+    let report = play(&Scenario::draw_nomad(9033));
+    assert_eq!(report.violation, None, "seed 9033");
+    assert!(report.counts.told_off > 0, "drains were told");
+}
+
 #[test]
 fn the_same_seeds_give_the_same_digest_with_any_number_of_jobs() {
     let one = run(1000..1040, 1);
