Choose among a sample of nodes, draw from arcs in great fleets, and hold ceilings over many doors

Front doors that draw alone from a great fleet each know too little of every node.

With more doors than a ceiling has units some hold its store for each customer; before, nothing passed.

--- /dev/null
+++ b/crates/springusher/src/choice.rs
@@ -0,0 +1,403 @@
+//! Choice of the server: which there are, what is known of each, and which gets the next attempt. Of a small
+//! fleet all are weighed; of a greater one some that are drawn, the large more often, so that a choice costs
+//! about the same whatever their number. They are drawn from this gateway's arc of the ring of servers; arcs
+//! overlap so that all servers have the same number of gateways.
+
+use crate::interface::*;
+use oorandom::Rand64;
+use springusher_counts::{blend, Agenda, InFlight, Members, Ticket};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Most warm servers that are all weighed, and how many are drawn of more: while four in five are busy, all
+/// that are drawn are so once in two hundred choices.
+const ALL: usize = 32;
+const DRAWN: usize = 24;
+/// Gateways that share each server of a greater fleet: own work in hand tells of a server's queue only where
+/// few others send to it. Hurts where one gateway's customers ask for far more than its neighbours'.
+const SHARED: f64 = 4.0;
+/// A server silent for so many mean answer times, with work of ours in hand, is taken to hang.
+pub const SILENCE: f64 = 4.0;
+/// Mean answer times after which what was learned of a server's pace has faded to a third.
+const FADE: f64 = 20.0;
+/// Failures in a row that eject a server, and for how many mean answer times at first.
+const STRIKES: u32 = 3;
+const EJECTED: f64 = 3.0;
+/// Part of the allowance for a cold server that is used: the rest covers unlike requests, and gateways that
+/// have not heard of its start. Those that have answer for it if they sent two thirds: this is less.
+const COLD_MARGIN: f64 = 0.62;
+/// A turn that is passed over, as the server is ejected or was tried, comes back after this part of another.
+const PASSED_OVER: f64 = 0.25;
+/// Most turns that a cold server has saved up.
+const MOST_TURNS: f64 = 2.0;
+/// A turn is whole but for rounding.
+const WHOLE: f64 = 1.0 - 1e-6;
+/// Cost of a server in another zone, as a factor: breaks near ties only.
+const FAR: f64 = 1.1;
+/// Pace of a server below which being faster counts no more: a lucky run must not draw all the work.
+const LEAST_PACE: f64 = 0.2;
+/// Spread of the random part of a cost: enough to part equals, too little to overrule a difference.
+const TIE: f64 = 0.1;
+/// Weight of a new sample in the pace of a server.
+const SAMPLE: f64 = 0.1;
+
+#[derive(Debug)]
+struct Server {
+    entry: ServerEntry,
+    /// When own attempts in hand were sent, the oldest first.
+    out: VecDeque<Millis>,
+    /// Time taken against the fleet's mean.
+    slowness: f64,
+    judged: Millis,
+    answered: Millis,
+    strikes: u32,
+    ejected_until: Millis,
+    /// Its part of the fleet, added up over the choices while it was cold; whole ones are its turns. Kept
+    /// while it drains: one that is told off and on again has no more of them.
+    lot: f64,
+    /// While it is cold: since when, up to which count of choices and at which warmth its lot is added up,
+    /// and its place in the order of turns.
+    cold: Option<Cold>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Cold {
+    launched: Option<Millis>,
+    since: Millis,
+    at: f64,
+    warmth: f64,
+    due: f64,
+}
+
+/// What a choice is for, and when.
+pub struct Wanted<'a> {
+    pub settings: &'a Settings,
+    pub now: Millis,
+    /// The mean answer's time.
+    pub mean: Millis,
+    /// What a second run does, and where an attempt may have run already.
+    pub effect: Effect,
+    pub home: Option<ServerEntry>,
+    /// Servers that were tried.
+    pub tried: &'a dyn Fn(ServerId) -> bool,
+}
+
+/// The servers.
+#[derive(Debug)]
+pub struct Fleet {
+    servers: BTreeMap<ServerId, Server>,
+    /// Those that are ready and warm.
+    warm: Members,
+    /// Those that are ready and cold: how many, and the sum of the moments since when they are.
+    cold: (usize, f64),
+    /// When each cold one is warm, and at how many choices its next turn is looked at. Lines that its state
+    /// does not bear out are old, and passed over.
+    warming: Agenda,
+    turns: Agenda,
+    /// Choices so far, each in parts of the fleet's capacity.
+    passed: f64,
+    in_flight: InFlight,
+}
+
+impl Fleet {
+    /// No server yet; attempts in hand are counted by their age up to the aim of each class.
+    pub fn new(classes: &[Class]) -> Fleet {
+        let in_flight = InFlight::new(classes.iter().map(|class| class.aim));
+        let (warming, turns) = (Agenda::default(), Agenda::default());
+        let (servers, warm) = (BTreeMap::new(), Members::default());
+        Fleet { servers, warm, cold: (0, 0.0), warming, turns, passed: 0.0, in_flight }
+    }
+
+    /// Servers, those among them that only end their work.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Servers that take requests.
+    pub fn ready(&self) -> usize {
+        self.warm.row().len() + self.cold.0
+    }
+
+    /// Own attempts in hand.
+    pub fn in_hand(&self) -> f64 {
+        self.in_flight.len() as f64
+    }
+
+    /// Own attempts in hand that can still be in time for the class.
+    pub fn young(&mut self, class: usize, now: Millis) -> f64 {
+        self.in_flight.within(class, now) as f64
+    }
+
+    /// Notes an attempt that is sent. Returns what the server is, and what the attempt's end is told with.
+    pub fn send(&mut self, now: Millis, to: ServerId) -> Option<(ServerEntry, Ticket)> {
+        let server = self.servers.get_mut(&to)?;
+        server.out.push_back(now);
+        Some((server.entry, self.in_flight.begin(now)))
+    }
+
+    /// Notes the end of an attempt.
+    pub fn end(&mut self, id: ServerId, sent: Millis, ticket: Ticket) {
+        self.in_flight.end(ticket);
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let place = server.out.iter().position(|at| *at == sent);
+        place.and_then(|place| server.out.remove(place));
+        if server.out.is_empty() && server.entry.lifecycle == Lifecycle::Gone {
+            self.servers.remove(&id);
+        }
+    }
+
+    /// Whether a server holds work of ours and has said nothing for long, or is not there any more.
+    pub fn is_silent(&self, id: ServerId, now: Millis, mean: Millis) -> bool {
+        self.servers.get(&id).is_none_or(|server| server.silence(now, mean) > SILENCE)
+    }
+
+    /// Learns from the end of an attempt, in terms of the mean answer's time. Returns what staff should read.
+    pub fn judge(
+        &mut self,
+        now: Millis,
+        id: ServerId,
+        end: &AttemptEnd,
+        mean: (Millis, Millis),
+    ) -> Option<String> {
+        let server = self.servers.get_mut(&id)?;
+        server.slowness = server.slowness(now, mean.0);
+        server.judged = now;
+        let worst = 2.0 * SILENCE;
+        let elapsed = if end.elapsed.is_finite() { end.elapsed.max(0.0) } else { 0.0 };
+        let before = server.strikes;
+        match end.outcome {
+            Outcome::Ok => {
+                (server.strikes, server.ejected_until, server.answered) = (0, 0.0, now);
+                blend(&mut server.slowness, (elapsed / mean.1).min(worst), SAMPLE);
+            }
+            Outcome::Cancelled => blend(&mut server.slowness, (elapsed / mean.1).min(worst), SAMPLE),
+            Outcome::Moot => {}
+            // Guards against a server that fails some or all of what it gets, at once or late: each failure
+            // weighs as a very slow answer, and some in a row eject it. Hurts if the fault is the request's.
+            _ => {
+                server.strikes += 1;
+                blend(&mut server.slowness, worst, SAMPLE);
+                if matches!(end.outcome, Outcome::Full | Outcome::Error) {
+                    server.answered = now;
+                }
+            }
+        }
+        if server.strikes >= STRIKES {
+            let doublings = (server.strikes - STRIKES).min(4);
+            server.ejected_until = now + EJECTED * mean.1 * f64::from(1u32 << doublings);
+        }
+        let text = match (before >= STRIKES, server.strikes) {
+            (true, 0) => "answers again",
+            (false, STRIKES) => "ejected: some failures in a row",
+            _ => return None,
+        };
+        Some(format!("server {id} {text}"))
+    }
+
+    /// Picks the server with the least expected wait, as far as own work and answers tell.
+    pub fn choose(&mut self, wanted: &Wanted, rng: &mut Rand64) -> Option<ServerId> {
+        while let Some((_, id)) = self.warming.next(wanted.now) {
+            self.place(id, wanted.settings, wanted.now);
+        }
+        let (drawn, spare) = self.cold_turn(wanted);
+        if drawn.is_some() {
+            return drawn;
+        }
+        let mut best: [Option<(f64, ServerId)>; 2] = [None, None];
+        let (warm, gateways) = (self.warm.row(), f64::from(wanted.settings.gateways));
+        let middle = (f64::from(wanted.settings.ordinal) + 0.5) / gateways;
+        let arc = (SHARED / gateways).max(DRAWN as f64 / warm.len().max(1) as f64).min(1.0);
+        for arc in [arc, 1.0] {
+            for _ in 0..if warm.len() <= ALL || best[0].is_some() { 0 } else { DRAWN } {
+                let part = (middle + arc * (rng.rand_float() - 0.5)).rem_euclid(1.0);
+                let Some(id) = self.warm.draw(part) else { break };
+                self.weigh(id, wanted, rng, &mut best);
+            }
+        }
+        // All of a small fleet; and of a great one where none will do that was drawn from the arc, then from
+        // all: nearly all are ejected, or only one group's servers may have the request.
+        if best[0].is_none() {
+            warm.iter().for_each(|&id| self.weigh(id, wanted, rng, &mut best));
+        }
+        if let Some((_, id)) = best[0] {
+            return Some(id);
+        }
+        if let Some(cold) = spare.and_then(|id| self.servers.get_mut(&id)) {
+            cold.lot = (cold.lot - 1.0).max(0.0);
+        }
+        spare.or(best[1].map(|(_, id)| id))
+    }
+
+    /// Weighs one server: among those that may be sent to, or among those that are ejected or were tried.
+    fn weigh(
+        &self,
+        id: ServerId,
+        wanted: &Wanted,
+        rng: &mut Rand64,
+        best: &mut [Option<(f64, ServerId)>; 2],
+    ) {
+        let Some(server) = self.servers.get(&id).filter(|server| server.may_have(wanted)) else { return };
+        let (now, mean) = (wanted.now, wanted.mean);
+        let far = if server.entry.zone == wanted.settings.zone { 1.0 } else { FAR };
+        let pace = server.slowness(now, mean).max(server.silence(now, mean) / 2.0).max(LEAST_PACE);
+        let wait = (server.out.len() as f64 + 1.0) * pace;
+        let cost = wait * far / server.size() * (1.0 + TIE * rng.rand_float());
+        let rank = &mut best[usize::from(server.is_ejected(now) || (wanted.tried)(id))];
+        if rank.is_none_or(|(least, _)| cost < least) {
+            *rank = Some((cost, id));
+        }
+    }
+
+    // ---- Cold servers. ----
+
+    /// Guards against tipping a cold server over: it has turns for its part of the fleet, whatever its
+    /// answers, so that all gateways, however many, send it no more for its capacity than a warm one; with
+    /// few warm ones left, the rest is refused. Hurts where warmth is understated. Systematic, from a drawn
+    /// start: turns drawn each by itself came in runs that tipped it over. Counts one choice. Returns the
+    /// cold server whose turn it is, or one that is ejected or was tried, for want of a better.
+    fn cold_turn(&mut self, wanted: &Wanted) -> (Option<ServerId>, Option<ServerId>) {
+        let (settings, now, (count, since)) = (wanted.settings, wanted.now, self.cold);
+        if count == 0 {
+            return (None, None);
+        }
+        let ready = self.ready() as f64;
+        let ramp = (count as f64 * now - since) / settings.cold_for;
+        let capacity = ready - (1.0 - settings.cold_from) * (count as f64 - ramp);
+        self.passed += 1.0 / f64::max(capacity, ready / (COLD_MARGIN * settings.tip_multiple).max(1.0));
+        let mut spare = None;
+        while let Some((due, id)) = self.turns.next(self.passed) {
+            let Some(server) = self.servers.get_mut(&id) else { continue };
+            let will_do = server.may_have(wanted);
+            let waits = server.is_ejected(now) || (wanted.tried)(id);
+            let Some(cold) = server.cold.as_mut().filter(|cold| cold.due == due) else { continue };
+            // Its warmth grew meanwhile: the mean of both ends.
+            let warmth = settings.warmth(now - cold.since);
+            let lot = server.lot + (self.passed - cold.at) * (cold.warmth + warmth) / 2.0;
+            server.lot = lot.min(MOST_TURNS);
+            (cold.at, cold.warmth) = (self.passed, warmth);
+            let turn = server.lot >= WHOLE;
+            let taken = turn && will_do && !waits;
+            server.lot -= if taken { server.lot.min(1.0) } else { 0.0 };
+            let next = if turn && !taken { PASSED_OVER } else { (1.0 - server.lot).max(0.0) };
+            // Later than now whatever the rounding, so that each is looked at once a choice.
+            let later = self.passed * (1.0 + f64::EPSILON) + f64::MIN_POSITIVE;
+            cold.due = later.max(self.passed + next / warmth.max(f64::MIN_POSITIVE));
+            self.turns.push(cold.due, id);
+            if taken {
+                return (Some(id), None);
+            }
+            spare = spare.or((turn && will_do).then_some(id));
+        }
+        (None, spare)
+    }
+
+    /// Puts a server where it belongs by now.
+    fn place(&mut self, id: ServerId, settings: &Settings, now: Millis) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let ready = server.entry.lifecycle == Lifecycle::Ready;
+        let launched = server.entry.launched;
+        let same = server.cold.filter(|cold| cold.launched == launched);
+        // A start that is told for later is taken for one by now.
+        let since = same.map(|cold| cold.since).or(launched.map(|at| at.min(now)));
+        let since = since.filter(|since| ready && now < since + settings.cold_for);
+        if since.is_some() && same.is_some() {
+            return;
+        }
+        let before = server.cold.take();
+        self.cold = before.map_or(self.cold, |was| (self.cold.0 - 1, self.cold.1 - was.since));
+        if let Some(since) = since {
+            let (at, warmth) = (self.passed, settings.warmth(now - since));
+            server.cold = Some(Cold { launched, since, at, warmth, due: at });
+            self.cold = (self.cold.0 + 1, self.cold.1 + since);
+            self.turns.push(at, id);
+            self.warming.push(since + settings.cold_for, id);
+        }
+        if self.cold.0 == 0 {
+            // Nothing is left of what rounding has added up, and no old line.
+            (self.cold.1, self.passed) = (0.0, 0.0);
+            self.turns.clear();
+            self.warming.clear();
+        }
+        let is_warm = ready && server.cold.is_none();
+        self.warm.set(id, if is_warm { server.size() } else { 0.0 });
+    }
+
+    // ---- The list. ----
+
+    /// Follows the server list. A server that drains or is gone gets nothing from this moment on.
+    pub fn list(
+        &mut self,
+        settings: &Settings,
+        now: Millis,
+        list: (ListKind, Vec<ServerEntry>),
+        rng: &mut Rand64,
+    ) {
+        let (kind, entries) = list;
+        let mut touched: Vec<ServerId> = entries.iter().map(|entry| entry.id).collect();
+        if kind != ListKind::Delta {
+            self.servers.values_mut().for_each(|server| server.entry.lifecycle = Lifecycle::Gone);
+            touched = self.servers.keys().copied().chain(touched).collect();
+        }
+        for entry in entries {
+            let lot = if entry.launched.is_some() { rng.rand_float() } else { 0.0 };
+            let server = self.servers.entry(entry.id).or_insert_with(|| Server::new(entry, now, lot));
+            if entry.launched.is_some() && entry.launched != server.entry.launched {
+                (server.strikes, server.ejected_until, server.slowness) = (0, 0.0, 1.0);
+            }
+            server.entry = entry;
+        }
+        for id in touched {
+            self.place(id, settings, now);
+            let over = |server: &Server| server.entry.lifecycle == Lifecycle::Gone && server.out.is_empty();
+            if self.servers.get(&id).is_some_and(over) {
+                self.servers.remove(&id);
+            }
+        }
+    }
+}
+
+impl Server {
+    fn new(entry: ServerEntry, now: Millis, lot: f64) -> Server {
+        let (out, strikes, ejected_until) = (VecDeque::new(), 0, 0.0);
+        let (slowness, cold) = (1.0, None);
+        Server { entry, out, slowness, judged: now, answered: now, strikes, ejected_until, lot, cold }
+    }
+
+    /// Whether it may have the request at all: a repeat of a keyed one goes to servers that would drop it.
+    fn may_have(&self, wanted: &Wanted) -> bool {
+        match (wanted.effect, wanted.home) {
+            (Effect::Keyed { scope: Scope::Zone, .. }, Some(home)) => home.zone == self.entry.zone,
+            (Effect::Keyed { scope: Scope::Cell, .. }, Some(home)) => home.cell == self.entry.cell,
+            _ => true,
+        }
+    }
+
+    /// Its size against others'; one that is not told is like most.
+    fn size(&self) -> f64 {
+        if self.entry.share > 0.0 {
+            self.entry.share
+        } else {
+            1.0
+        }
+    }
+
+    fn is_ejected(&self, now: Millis) -> bool {
+        now < self.ejected_until || (self.strikes >= STRIKES && !self.out.is_empty())
+    }
+
+    /// Time taken against the fleet's mean; it fades to that of the others, so that a server passed over is
+    /// tried again.
+    fn slowness(&self, now: Millis, mean: Millis) -> f64 {
+        if self.slowness == 1.0 {
+            return 1.0;
+        }
+        let age = (now - self.judged).max(0.0) / mean.max(1.0);
+        1.0 + (self.slowness - 1.0) * (-age / FADE).exp()
+    }
+
+    /// For how many mean answer times it has held work of ours and said nothing. Hung, paused, slow, cut off
+    /// or lying: from here it looks the same, and the answer is the same.
+    fn silence(&self, now: Millis, mean: Millis) -> f64 {
+        let Some(oldest) = self.out.front() else { return 0.0 };
+        (now - oldest.max(self.answered)) / mean.max(1.0)
+    }
+}
--- a/crates/springusher/src/control.rs
+++ b/crates/springusher/src/control.rs
@@ -1,13 +1,16 @@
-//! All decisions. The types, events and actions that this module speaks in are in `interface.rs`.
+//! All decisions but which server gets an attempt (`choice.rs`), in the terms of `interface.rs`.
 //!
 //! Admission follows the random refusal of "Stochastic breakdown model for an unreliable web server
 //! system": each gateway refuses a customer's requests with chance 1 - quota / offered, where the offered
 //! rate of all gateways is taken from the meter, and the class of the lowest worth goes first.
 
+use crate::choice::{Fleet, Wanted};
 use crate::interface::*;
 use crate::meter::MeterClock;
 use oorandom::Rand64;
+use springusher_counts::{blend, Sends, Ticket};
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound::{self, Excluded, Unbounded};
 
 // ---- Constants. All are dimensionless; times and rates come from the settings. ----
 
@@ -35,6 +38,8 @@
 const LEARN: f64 = 0.3;
 /// A customer idle for so many times its burst's filling time is forgotten.
 const IDLE_FILLS: f64 = 20.0;
+/// Customers that are looked at for that at each request.
+const SWEEP: usize = 4;
 /// Weight of a new sample in averages over requests and answers: about the last 20 of them.
 const SAMPLE: f64 = 0.1;
 /// Room of a new gateway: slow start, as hundreds may be born at once and none knows of the others.
@@ -58,26 +63,12 @@
 const SHRINK: f64 = 0.95;
 const STEP: f64 = 0.05;
 const CREW: f64 = 5.0;
-/// A server silent for so many mean answer times, with work of ours in hand, is taken to hang.
-const SILENCE: f64 = 4.0;
-/// Mean answer times after which what was learned of a server's pace has faded to a third.
-const FADE: f64 = 20.0;
-/// Failures in a row that eject a server.
-const STRIKES: u32 = 3;
 /// An attempt out for so many mean answer times may get a further one.
 const PATIENCE: f64 = 3.0;
 /// Further attempts for each first one: the retry budget.
 const RETRY_SHARE: f64 = 0.15;
 /// The part of the wanted time within which a further attempt or a held request must start to be of use.
 const USEFUL: f64 = 0.5;
-/// Part of the allowance for a cold server that is used: the rest covers unlike requests and gateways.
-const COLD_MARGIN: f64 = 0.7;
-/// Cost of a server in another zone, as a factor: breaks near ties only.
-const FAR: f64 = 1.1;
-/// Pace of a server below which being faster counts no more: a lucky run must not draw all the work.
-const LEAST_PACE: f64 = 0.2;
-/// Spread of the random part of a cost: enough to part equals, too little to overrule a difference.
-const TIE: f64 = 0.1;
 
 const DEADLINE: u64 = 0;
 const REVIEW: u64 = 1;
@@ -87,6 +78,7 @@
 struct Attempt {
     to: ServerEntry,
     sent: Millis,
+    ticket: Ticket,
     out: bool,
     may_have_run: bool,
 }
@@ -112,7 +104,7 @@
     chance_set: Millis,
     chances: VecDeque<(Millis, f64)>,
     /// Own sends that readings may still tell of.
-    sends: VecDeque<(Millis, f64)>,
+    sends: Sends,
     /// Own requests, fading: units, and the seconds that they came in.
     offered_here: f64,
     heard: f64,
@@ -133,19 +125,6 @@
     held: VecDeque<RequestId>,
 }
 
-#[derive(Debug)]
-struct Server {
-    entry: ServerEntry,
-    /// When own attempts in hand were sent, the oldest first.
-    out: Vec<Millis>,
-    /// Time taken against the fleet's mean.
-    slowness: f64,
-    judged: Millis,
-    answered: Millis,
-    strikes: u32,
-    ejected_until: Millis,
-}
-
 /// The decisions of one gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -158,12 +137,14 @@
     plan_use: Vec<(f64, f64)>,
     meter: MeterClock,
     swept: Millis,
+    /// The customer at which the sweep stands.
+    swept_to: Bound<CustomerId>,
     /// Refusals since then for want of room, and for want of a server.
     no_room: u32,
     pressed_before: bool,
     no_server: u32,
     requests: BTreeMap<RequestId, Open>,
-    servers: BTreeMap<ServerId, Server>,
+    fleet: Fleet,
     /// Recent share of each class in the offered units, and the classes from the highest worth down.
     class_mix: Vec<f64>,
     class_order: Vec<usize>,
@@ -183,11 +164,6 @@
     retry_budget: f64,
 }
 
-/// Moves an average towards a sample.
-fn blend(average: &mut f64, sample: f64, weight: f64) {
-    *average += weight * (sample - *average);
-}
-
 /// The chance of one kind when a share of the whole is admitted, the kinds in `order` first.
 fn ordered_chance(share: f64, mix: &[f64], order: &[usize], kind: usize) -> f64 {
     let total: f64 = mix.iter().sum();
@@ -219,11 +195,12 @@
             plan_use: vec![(CALM_USE, CALM_USE); settings.plans.len()],
             meter: MeterClock::new(settings.meter_period),
             swept: now,
+            swept_to: Unbounded,
             no_room: 0,
             pressed_before: false,
             no_server: 0,
             requests: BTreeMap::new(),
-            servers: BTreeMap::new(),
+            fleet: Fleet::new(&settings.classes),
             class_mix: vec![1.0 / classes.max(1) as f64; classes],
             class_order,
             answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
@@ -288,8 +265,8 @@
         let share = self.within_quota(&request);
         let (class, answer) = (self.settings.classes[request.class], self.answer_time[request.class]);
         let full = self.now < self.full_at + class.aim;
-        let flight = self.young(class.aim);
-        let idle = !full && self.rng.rand_float() < self.idle_part - self.young(f64::INFINITY);
+        let flight = self.fleet.young(request.class, self.now);
+        let idle = !full && self.rng.rand_float() < self.idle_part - self.fleet.in_hand();
         // Guards against a surge that is in before its late answers are: beyond the limit on work in flight
         // the chance falls, to nothing at two deviations more, so that few in hand are not refused by chance.
         let slack = 2.0 * self.limit.sqrt() + 1.0;
@@ -392,14 +369,16 @@
         customer.reading_at = Some(now);
         let held = customer.chances.iter().rev().find(|(at, _)| *at <= to - period / 2.0);
         let chance = held.or(customer.chances.front()).map_or(1.0, |held| held.1);
-        let elsewhere = units - customer.sent(to - period, to);
+        let elsewhere = units - customer.sends.between(to - period, to);
         let known = customer.elsewhere(&plan, *usual, fade).2;
         customer.watched = customer.watched * fade + period / 1000.0;
         customer.sent_elsewhere = (customer.sent_elsewhere * fade + elsewhere).max(0.0);
         customer.offered_elsewhere = (customer.offered_elsewhere * fade + elsewhere / chance).max(0.0);
-        let weight = SAMPLE * (1.0 - known);
-        blend(&mut usual.0, used, weight);
-        blend(&mut usual.1, used / chance, weight);
+        // Own rate by own count: a reading comes here only for a period in which this gateway sent.
+        let (weight, quota) = (SAMPLE * (1.0 - known), plan.rate * period / 1000.0);
+        let own = customer.offered_here / customer.heard.max(RATE_UNITS / plan.rate) / plan.rate;
+        blend(&mut usual.0, (elsewhere / quota + own * chance).max(0.0), weight);
+        blend(&mut usual.1, (elsewhere / quota / chance + own).max(0.0), weight);
         customer.set_chance(&plan, *usual, now, period);
     }
 
@@ -413,7 +392,7 @@
         self.room_at = self.now;
         if timely {
             self.room = (self.room + GROWTH * (self.room + PROBE) * weight).min(1.0);
-            if 2.0 * (self.young(aim) + 1.0) >= self.limit {
+            if 2.0 * (self.fleet.young(class, self.now) + 1.0) >= self.limit {
                 self.limit += if self.slow_start { 1.0 } else { STEP * (1.0 + self.limit / CREW) };
             }
         } else {
@@ -423,17 +402,24 @@
         }
     }
 
-    /// Own attempts in hand that can still be in time: hung servers must not close the door.
-    fn young(&self, aim: Millis) -> f64 {
-        let since = self.now - aim;
-        let young = |server: &Server| server.out.iter().filter(|at| **at > since).count();
-        self.servers.values().map(young).sum::<usize>() as f64
-    }
-
-    /// Once a second: reports refusals that are not the coin's, and forgets customers that have been idle
-    /// long enough for every store of theirs to be full again.
+    /// Once a second: reports refusals that are not the coin's. At each request: forgets those of a few
+    /// customers that have been idle long enough for every store of theirs to be full again.
     fn sweep(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
+        let is_idle = |customer: &Customer| {
+            let plan = &self.settings.plans[customer.plan];
+            let fill = |burst: f64, rate: f64| if rate > 0.0 { burst / rate * 1000.0 } else { 0.0 };
+            let full =
+                fill(plan.burst, plan.rate).max(fill(plan.ceiling_burst, plan.ceiling_rate)).max(1000.0);
+            now >= customer.seen + IDLE_FILLS * full && customer.open == 0 && customer.held.is_empty()
+        };
+        let next = self.customers.range((self.swept_to, Unbounded)).take(SWEEP);
+        let seen: Vec<(CustomerId, bool)> = next.map(|(&id, customer)| (id, is_idle(customer))).collect();
+        // Round again where the end was reached, also if new customers go on coming in there.
+        self.swept_to = seen.get(SWEEP - 1).map_or(Unbounded, |(last, _)| Excluded(*last));
+        for (id, _) in seen.into_iter().filter(|(_, is_idle)| *is_idle) {
+            self.customers.remove(&id);
+        }
         if now < self.swept + 1000.0 {
             return;
         }
@@ -447,114 +433,55 @@
             actions.push(Action::Log(format!("no server to send to: {} refused", self.no_server)));
         }
         (self.no_room, self.no_server) = (0, 0);
-        self.customers.retain(|_, customer| {
-            let plan = &self.settings.plans[customer.plan];
-            let fill = |burst: f64, rate: f64| if rate > 0.0 { burst / rate * 1000.0 } else { 0.0 };
-            let full = fill(plan.burst, plan.rate).max(fill(plan.ceiling_burst, plan.ceiling_rate));
-            let idle = now >= customer.seen + IDLE_FILLS * full.max(1000.0);
-            !idle || customer.open > 0 || !customer.held.is_empty()
-        });
     }
 
-    // ---- Ceiling guard. ----
-
-    /// Takes a first attempt's units from this gateway's share of the ceiling. The share holds with no word
-    /// from others. It fills from the gateway's birth, for what an earlier life spent is not known.
-    fn under_ceiling(&mut self, request: &Request) -> bool {
+    /// Takes a first attempt's units from this gateway's share of the ceiling, or tells how long to wait. The
+    /// share holds with no word from others. It fills from birth on, as an earlier life may have spent it.
+    /// Guards against shares below a unit, of which nothing would pass: some gateways hold all then, others
+    /// for each customer.
+    fn under_ceiling(&mut self, request: &Request) -> Result<(), Millis> {
         let plan = &self.settings.plans[request.plan];
-        let Some(customer) = self.customers.get_mut(&request.customer) else { return false };
+        let Some(customer) = self.customers.get_mut(&request.customer) else { return Err(0.0) };
         if plan.ceiling_rate <= 0.0 {
-            return true;
+            return Ok(());
+        }
+        let (store, all) = (plan.ceiling_burst + plan.ceiling_slack, u64::from(self.settings.gateways));
+        let split = store < customer.spread && customer.spread >= all as f64;
+        let holders = if split { store.floor().max(1.0) } else { customer.spread };
+        if split && (u64::from(self.settings.ordinal) + request.customer % all) % all >= holders as u64 {
+            return Err(0.0);
         }
-        let filled = (self.now - customer.ceiling_at).max(0.0) / 1000.0 * plan.ceiling_rate / customer.spread;
-        let most = (plan.ceiling_burst + plan.ceiling_slack) / customer.spread;
-        customer.ceiling = (customer.ceiling + filled).min(most);
+        let filled = (self.now - customer.ceiling_at).max(0.0) / 1000.0 * plan.ceiling_rate / holders;
+        customer.ceiling = (customer.ceiling + filled).min(store / holders);
         customer.ceiling_at = self.now;
         if customer.ceiling < request.units {
-            return false;
+            return Err(self.settings.max_retry_after);
         }
         customer.ceiling -= request.units;
-        true
+        Ok(())
     }
 
     // ---- Balancing and health. ----
 
-    /// Share of its full capacity that a server has at least.
-    fn warmth(&self, server: &Server) -> f64 {
-        match server.entry.launched {
-            Some(at) if self.settings.cold_for > 0.0 && self.now < at + self.settings.cold_for => {
-                let ramp = ((self.now - at) / self.settings.cold_for).clamp(0.0, 1.0);
-                self.settings.cold_from + (1.0 - self.settings.cold_from) * ramp
-            }
-            _ => 1.0,
-        }
-    }
-
     /// Mean time of an answer over the classes, by their recent mix.
     fn mean_answer(&self) -> f64 {
         self.answer_time.iter().zip(&self.class_mix).map(|(time, share)| time * share).sum()
     }
 
-    /// Time taken against the fleet's mean; it fades to that of the others, so that a server passed over is
-    /// tried again.
-    fn slowness(&self, server: &Server) -> f64 {
-        let age = (self.now - server.judged).max(0.0) / self.mean_answer().max(1.0);
-        1.0 + (server.slowness - 1.0) * (-age / FADE).exp()
-    }
-
-    /// Whether a server holds work of ours and has said nothing for long. Hung, paused, slow, cut off or
-    /// lying: from here it looks the same, and the answer is the same.
-    fn silence(&self, server: &Server) -> f64 {
-        let Some(oldest) = server.out.first() else { return 0.0 };
-        (self.now - oldest.max(server.answered)) / self.mean_answer().max(1.0)
-    }
-
     /// Picks the server with the least expected wait, as far as own work and answers tell.
     fn choose(&mut self, request: RequestId) -> Option<ServerId> {
+        let (settings, now, mean) = (&self.settings, self.now, self.mean_answer());
         let open = &self.requests[&request];
-        let class = self.settings.classes[open.request.class];
         let ran = open.attempts.iter().find(|attempt| attempt.may_have_run);
-        let home = ran.map(|attempt| attempt.to);
-        // Guards against tipping a cold server over: it is drawn by lot for its part of the fleet,
-        // whatever its answers, so that all gateways, however many, send it no more for its capacity than a
-        // warm one; with few warm ones left, the rest is refused. Hurts where warmth is understated.
-        let (mut ready, mut capacity) = (0.0, 0.0);
-        for server in self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready) {
-            let warmth = self.warmth(server);
-            ready += 1.0;
-            capacity += warmth;
-        }
-        let capacity = f64::max(capacity, ready / (COLD_MARGIN * self.settings.tip_multiple).max(1.0));
-        let mut best: [Option<(f64, ServerId)>; 2] = [None, None];
-        for (&id, server) in &self.servers {
-            let same_group = match (class.effect, home) {
-                (Effect::Keyed { scope: Scope::Zone, .. }, Some(home)) => home.zone == server.entry.zone,
-                (Effect::Keyed { scope: Scope::Cell, .. }, Some(home)) => home.cell == server.entry.cell,
-                _ => true,
-            };
-            if !same_group || server.entry.lifecycle != Lifecycle::Ready {
-                continue;
-            }
-            let warmth = self.warmth(server);
-            let drawn = warmth < 1.0 && self.rng.rand_float() < warmth / capacity;
-            if warmth < 1.0 && !drawn {
-                continue;
-            }
-            let silence = self.silence(server);
-            let ejected =
-                self.now < server.ejected_until || (server.strikes >= STRIKES && !server.out.is_empty());
-            let tried = open.attempts.iter().any(|attempt| attempt.to.id == id);
-            let size = if server.entry.share > 0.0 { server.entry.share } else { 1.0 };
-            let far = if server.entry.zone == self.settings.zone { 1.0 } else { FAR };
-            let wait =
-                (server.out.len() as f64 + 1.0) * self.slowness(server).max(silence / 2.0).max(LEAST_PACE);
-            let cost = if drawn { 0.0 } else { wait } * far / size * (1.0 + TIE * self.rng.rand_float());
-            let rank = &mut best[usize::from(ejected || tried)];
-            if rank.is_none_or(|(least, _)| cost < least) {
-                *rank = Some((cost, id));
-            }
-        }
-        best[0].or(best[1]).map(|(_, id)| id)
+        let wanted = Wanted {
+            settings,
+            now,
+            mean,
+            effect: self.settings.classes[open.request.class].effect,
+            home: ran.map(|attempt| attempt.to),
+            tried: &|id| open.attempts.iter().any(|attempt| attempt.to.id == id),
+        };
+        self.fleet.choose(&wanted, &mut self.rng)
     }
 
     /// Learns from the end of an attempt.
@@ -573,41 +500,10 @@
             }
             _ => {}
         }
-        let Some(server) = self.servers.get(&id) else { return };
-        let slowness = self.slowness(server);
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        server.slowness = slowness;
-        server.judged = now;
-        let worst = 2.0 * SILENCE;
-        match end.outcome {
-            Outcome::Ok => {
-                if server.strikes >= STRIKES {
-                    actions.push(Action::Log(format!("server {id} answers again")));
-                }
-                server.strikes = 0;
-                server.ejected_until = 0.0;
-                server.answered = now;
-                blend(&mut server.slowness, (elapsed / mean).min(worst), SAMPLE);
-                blend(&mut self.answer_time[class], elapsed, SAMPLE / 5.0);
-            }
-            Outcome::Cancelled => blend(&mut server.slowness, (elapsed / mean).min(worst), SAMPLE),
-            Outcome::Moot => {}
-            // Guards against a server that fails some or all of what it gets, at once or late: each failure
-            // weighs as a very slow answer, and some in a row eject it. Hurts if the fault is the request's.
-            _ => {
-                server.strikes += 1;
-                blend(&mut server.slowness, worst, SAMPLE);
-                if matches!(end.outcome, Outcome::Full | Outcome::Error) {
-                    server.answered = now;
-                }
-            }
-        }
-        if server.strikes >= STRIKES {
-            if server.strikes == STRIKES {
-                actions.push(Action::Log(format!("server {id} ejected: {STRIKES} failures in a row")));
-            }
-            let doublings = (server.strikes - STRIKES).min(4);
-            server.ejected_until = now + PATIENCE * mean * f64::from(1u32 << doublings);
+        let means = (self.mean_answer(), mean);
+        actions.extend(self.fleet.judge(now, id, end, means).map(Action::Log));
+        if end.outcome == Outcome::Ok {
+            blend(&mut self.answer_time[class], elapsed, SAMPLE / 5.0);
         }
     }
 
@@ -627,36 +523,30 @@
             actions.push(Action::Timer { at: self.now + USEFUL * aim, token: (id << 2) + REVIEW });
             return;
         }
-        match self.choose(id) {
-            None => {
-                self.no_server += 1;
-                self.refuse(id, self.settings.max_retry_after, actions);
-            }
-            Some(_) if !self.under_ceiling(&request) => {
-                self.refuse(id, self.settings.max_retry_after, actions)
-            }
-            Some(server) => {
-                // Without a rate nothing reads these, and nothing would take them off again.
-                if let Some(customer) = self.customers.get_mut(&request.customer).filter(|_| plan.rate > 0.0)
-                {
-                    customer.sends.push_back((self.now, request.units));
-                }
-                self.retry_budget = (self.retry_budget + RETRY_SHARE).min(self.servers.len() as f64);
-                self.send(id, server, actions);
-            }
+        let Some(server) = self.choose(id) else {
+            self.no_server += 1;
+            return self.refuse(id, self.settings.max_retry_after, actions);
+        };
+        if let Err(wait) = self.under_ceiling(&request) {
+            return self.refuse(id, wait, actions);
+        }
+        // Without a rate nothing reads these, and nothing would take them off again.
+        if let Some(customer) = self.customers.get_mut(&request.customer).filter(|_| plan.rate > 0.0) {
+            customer.sends.push(self.now, request.units);
         }
+        self.retry_budget = (self.retry_budget + RETRY_SHARE).min(self.fleet.len() as f64);
+        self.send(id, server, actions);
     }
 
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some(server) = self.servers.get_mut(&to) else { return };
-        server.out.push(self.now);
+        let Some((to, ticket)) = self.fleet.send(self.now, to) else { return };
         open.held = false;
-        open.attempts.push(Attempt { to: server.entry, sent: self.now, out: true, may_have_run: true });
+        open.attempts.push(Attempt { to, sent: self.now, ticket, out: true, may_have_run: true });
         if let Some(customer) = self.customers.get_mut(&open.request.customer) {
             customer.open += 1;
         }
-        actions.push(Action::Send { request: id, server: to, expire_at: None });
+        actions.push(Action::Send { request: id, server: to.id, expire_at: None });
         let class = open.request.class;
         let patience = (PATIENCE * self.answer_time[class]).min(USEFUL * self.settings.classes[class].aim);
         actions.push(Action::Timer { at: self.now + patience, token: (id << 2) + REVIEW });
@@ -707,7 +597,7 @@
             self.further(id, actions);
         } else if free && !self.settings.may_duplicate && self.settings.may_cancel {
             // One copy at a time: the attempt is given up first, and its end brings the next one.
-            let silent = self.servers.get(&last.to.id).is_none_or(|server| self.silence(server) > SILENCE);
+            let silent = self.fleet.is_silent(last.to.id, self.now, self.mean_answer());
             let useful = self.now < open.arrived + self.settings.classes[open.request.class].aim;
             let more = open.attempts.len() < self.settings.max_attempts as usize && self.retry_budget >= 1.0;
             if silent && useful && more {
@@ -734,18 +624,11 @@
         }
         attempt.out = false;
         attempt.may_have_run = !end.outcome.never_ran();
-        let (server, sent, request) = (attempt.to.id, attempt.sent, open.request);
+        let (server, sent, ticket, request) = (attempt.to.id, attempt.sent, attempt.ticket, open.request);
         if end.finished {
             open.done = true;
         }
-        if let Some(server) = self.servers.get_mut(&server) {
-            if let Some(place) = server.out.iter().position(|at| *at == sent) {
-                server.out.remove(place);
-            }
-            if server.out.is_empty() && server.entry.lifecycle == Lifecycle::Gone {
-                self.servers.remove(&attempt.to.id);
-            }
-        }
+        self.fleet.end(server, sent, ticket);
         self.judge(request.class, server, &end, actions);
         let next = self.customers.get_mut(&request.customer).and_then(|customer| {
             customer.open = customer.open.saturating_sub(1);
@@ -820,8 +703,6 @@
         }
     }
 
-    // ---- Roster. ----
-
     /// Follows the server list. A server that drains or is gone gets nothing from this moment on.
     fn roster(&mut self, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
         if self.settings.list_on_request {
@@ -834,25 +715,8 @@
         if kind == ListKind::Failed {
             return;
         }
-        if kind != ListKind::Delta {
-            for server in self.servers.values_mut() {
-                server.entry.lifecycle = Lifecycle::Gone;
-            }
-        }
-        for entry in entries {
-            let (out, now, strikes) = (Vec::new(), self.now, 0);
-            let fresh =
-                Server { entry, out, slowness: 1.0, judged: now, answered: now, strikes, ejected_until: 0.0 };
-            let server = self.servers.entry(entry.id).or_insert(fresh);
-            if entry.launched.is_some() && entry.launched != server.entry.launched {
-                server.strikes = 0;
-                server.ejected_until = 0.0;
-                server.slowness = 1.0;
-            }
-            server.entry = entry;
-        }
-        self.servers.retain(|_, server| server.entry.lifecycle != Lifecycle::Gone || !server.out.is_empty());
-        let ready = self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready).count();
+        self.fleet.list(&self.settings, self.now, (kind, entries), &mut self.rng);
+        let ready = self.fleet.ready();
         self.idle_part = IDLE * ready as f64 / f64::from(self.settings.gateways);
         self.limit = self.limit.max(self.idle_part);
     }
@@ -872,16 +736,11 @@
         (sent, offered, 1.0 - prior / seconds)
     }
 
-    /// Own sends after `from` and up to `to`, in units.
-    fn sent(&self, from: Millis, to: Millis) -> f64 {
-        self.sends.iter().filter(|(at, _)| *at > from && *at <= to).map(|(_, units)| units).sum()
-    }
-
     /// Units that other gateways have likely sent in a surge of which no reading tells yet: more, the more
     /// periods it takes until one tells.
     fn unseen(&self, plan: &Plan, now: Millis, delay: f64) -> f64 {
         let even = plan.rate * (now - self.told) / 1000.0 / self.spread;
-        SURGE * delay * (self.spread - 1.0) * (self.sent(self.told, now) - even).max(0.0)
+        SURGE * delay * (self.spread - 1.0) * (self.sends.between(self.told, now) - even).max(0.0)
     }
 
     /// How much of the readings still counts: they fade over some units of the quota, or some gaps between
@@ -894,7 +753,8 @@
     /// Content of the store at a later time: the quota flows in, own sends and others' likely ones flow out.
     fn content(&self, plan: &Plan, usual: (f64, f64), now: Millis, at: Millis) -> f64 {
         let flow = plan.rate - self.elsewhere(plan, usual, self.fade(plan, now)).0;
-        (self.store + flow * (at - self.told) / 1000.0 - self.sent(self.told, at)).clamp(0.0, plan.burst)
+        (self.store + flow * (at - self.told) / 1000.0 - self.sends.between(self.told, at))
+            .clamp(0.0, plan.burst)
     }
 
     /// Takes for settled what no reading told of up to then.
@@ -909,9 +769,7 @@
     fn settle(&mut self, plan: &Plan, usual: (f64, f64), now: Millis, reach: Millis) {
         let keep = now - reach;
         self.advance(plan, usual, now, keep);
-        while self.sends.front().is_some_and(|(at, _)| *at < keep) {
-            self.sends.pop_front();
-        }
+        self.sends.drop_before(keep);
         while self.chances.len() > 1 && self.chances[1].0 < keep {
             self.chances.pop_front();
         }
--- a/crates/springusher/src/interface.rs
+++ b/crates/springusher/src/interface.rs
@@ -215,6 +215,14 @@
     }
 }
 
+impl Settings {
+    /// Share of its full capacity that a server has so long after its start.
+    pub(crate) fn warmth(&self, age: Millis) -> f64 {
+        let ramp = if self.cold_for > 0.0 { (age / self.cold_for).clamp(0.0, 1.0) } else { 1.0 };
+        self.cold_from + (1.0 - self.cold_from) * ramp
+    }
+}
+
 /// State of a server as the list tells it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Lifecycle {
--- a/crates/springusher/src/lib.rs
+++ b/crates/springusher/src/lib.rs
@@ -40,6 +40,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod choice;
 pub mod control;
 pub mod interface;
 mod meter;
--- a/crates/springusher/src/meter.rs
+++ b/crates/springusher/src/meter.rs
@@ -5,7 +5,7 @@
 //! can be learned: with the right period, what this gateway sent is a part of what the meter counted.
 
 use crate::interface::Millis;
-use std::collections::VecDeque;
+use springusher_counts::Sends;
 
 /// Places within a period that its end is looked for at, and the same of the delay until it is told.
 const PARTS: usize = 10;
@@ -60,26 +60,26 @@
     }
 
     /// Takes in a reading of so many units and the own sends to that customer, the oldest first.
-    pub fn learn(&mut self, now: Millis, units: f64, sends: &VecDeque<(Millis, f64)>) {
+    pub fn learn(&mut self, now: Millis, units: f64, sends: &Sends) {
         if self.period <= 0.0 || sends.is_empty() {
             return;
         }
         let part = self.period / PARTS as f64;
         for end in 0..PARTS {
-            // Own sends by period: the first is the last one that is over by now.
             let phase = end as f64 * part;
-            let over = ((now - phase) / self.period).floor() * self.period + phase;
-            let mut own = [0.0; MOST_PERIODS + 2];
-            for (at, sent) in sends.iter().filter(|(at, _)| *at <= over) {
-                if let Some(own) = own.get_mut(((over - at) / self.period) as usize) {
-                    *own += sent;
-                }
-            }
+            let periods = (now - phase) / self.period;
+            let over = periods.floor() * self.period + phase;
+            // A delay up to the part of the period that has passed since then tells of the one that was over;
+            // each period more of delay tells of one before.
+            let since = ((periods - periods.floor()) * PARTS as f64).floor() as usize + 1;
             let row = &mut self.misfit[end * DELAYS..][..DELAYS];
-            for (delay, misfit) in row.iter_mut().enumerate() {
-                let told = ((now - delay as f64 * part - phase) / self.period).floor() * self.period + phase;
-                let back = ((over - told) / self.period).round() as usize;
-                *misfit = *misfit * KEEP + (units - own[back]).abs().min(MOST_MISFIT);
+            let (mut first, mut last) = (0, since.min(DELAYS));
+            let mut end = over;
+            while first < DELAYS {
+                let own = sends.between(end - self.period, end);
+                let more = (units - own).abs().min(MOST_MISFIT);
+                row[first..last].iter_mut().for_each(|misfit| *misfit = *misfit * KEEP + more);
+                (first, last, end) = (last, (last + PARTS).min(DELAYS), end - self.period);
             }
         }
         self.best = least(&self.misfit);
--- a/crates/springusher/tests/health.rs
+++ b/crates/springusher/tests/health.rs
@@ -102,3 +102,34 @@
     let sent = run(&mut host, 3000, |_, _| Some(Outcome::Ok));
     assert!(sent[&1] > 100, "{sent:?}");
 }
+
+/// Guards a cold server against runs of turns: drawn each by itself they came, in one day of several thousand, often
+/// enough within its span to tip it over.
+#[test]
+fn a_cold_server_gets_its_part_of_the_fleet_in_every_span_and_never_a_run_of_turns() {
+    let settings = settings();
+    for seed in 0..20 {
+        let mut servers: Vec<_> = (1..=6).map(server).collect();
+        servers[5].launched = Some(0.0);
+        let mut host = Host::new(settings.clone(), &servers);
+        host.gateway = Gateway::new(settings.clone(), seed, 0.0).expect("the settings make sense");
+        host.event(Event::Servers { kind: ListKind::Full, entries: servers });
+        let mut turns: Vec<(f64, f64)> = Vec::new();
+        for _ in 0..480 {
+            host.now += 20.0;
+            let warmth = settings.cold_from + (1.0 - settings.cold_from) * host.now / settings.cold_for;
+            let (id, actions) = host.ask(1, 3, 1);
+            let sent = sends(&actions).iter().filter(|target| **target == 6).count();
+            turns.push((warmth / (5.0 + warmth), sent as f64));
+            host.end(id, 0, Outcome::Ok, None);
+        }
+        for (at, span) in turns.windows(60).enumerate() {
+            let part: f64 = span.iter().map(|(part, _)| part).sum();
+            let sent: f64 = span.iter().map(|(_, sent)| sent).sum();
+            assert!(
+                (sent - part).abs() <= 2.0,
+                "seed {seed}, from {at}: {sent} turns, its part is {part:.1}"
+            );
+        }
+    }
+}
--- a/crates/springusher/tests/rules.rs
+++ b/crates/springusher/tests/rules.rs
@@ -194,3 +194,64 @@
     // The servers do a quarter of what they do warm, and tip over at half.
     assert!(cold > usual / 5 && cold < usual / 2, "{cold} sent to a cold fleet, {usual} to a warm one");
 }
+
+/// Sends of one customer over so many gateways that each hold a share of a ceiling of 70.4 units, 16 a second: all at
+/// once after a minute in which nothing came, then four a second at each gateway for ten seconds.
+fn sends_beside(gateways: u32) -> (f64, f64) {
+    let mut doors: Vec<Gateway> = (0..gateways)
+        .map(|ordinal| {
+            let class =
+                Class { worth: 1.0, aim: 500.0, deadline: 2000.0, late_share: 0.0, effect: Effect::Free };
+            let settings = Settings {
+                gateways,
+                ordinal,
+                classes: vec![class],
+                plans: vec![Plan {
+                    ceiling_rate: 16.0,
+                    ceiling_burst: 64.0,
+                    ceiling_slack: 6.4,
+                    ..Plan::default()
+                }],
+                ..Settings::default()
+            };
+            let mut door = Gateway::new(settings, u64::from(ordinal), 0.0).expect("the settings make sense");
+            let entries = (0..4).map(server).collect();
+            door.handle(0.0, Event::Servers { kind: ListKind::Full, entries }, &mut Vec::new());
+            door
+        })
+        .collect();
+    let (mut at_once, mut later, mut id) = (0.0, 0.0, 0);
+    for round in 0..44u32 {
+        // Four at each gateway at once, then one at each in turns of a quarter of a second.
+        let now = 60_000.0 + f64::from(round.saturating_sub(3)) * 250.0;
+        for door in &mut doors {
+            id += 1;
+            let request = Request {
+                id,
+                customer: 12_345,
+                plan: 0,
+                class: 0,
+                units: 1.0,
+                spread: gateways,
+                expires_in: 2000.0,
+                repeat: false,
+            };
+            let mut actions = Vec::new();
+            door.handle(now, Event::Request(request), &mut actions);
+            let sent = actions.iter().filter(|action| matches!(action, Action::Send { .. })).count() as f64;
+            *(if round < 4 { &mut at_once } else { &mut later }) += sent;
+        }
+    }
+    (at_once, later)
+}
+
+#[test]
+fn a_ceiling_is_kept_and_of_use_over_more_gateways_than_it_has_units() {
+    for gateways in [1, 10, 70, 71, 100, 200, 1000] {
+        let (at_once, later) = sends_beside(gateways);
+        assert!(at_once <= 70.4, "{gateways} gateways: {at_once} at once");
+        assert!(at_once + later <= 70.4 + 16.0 * 10.1, "{gateways} gateways: {at_once} and {later}");
+        // With shares of less than a unit nothing passed, ever.
+        assert!(at_once + later >= 20.0, "{gateways} gateways: {at_once} and {later}");
+    }
+}
