--- a/crates/brassport-membership/src/book.rs
+++ b/crates/brassport-membership/src/book.rs
@@ -12,6 +12,11 @@
 //!    configuration. A node that moves to another address without another start is taken for started now.
 //! 5. Of two nodes at one address the one that started later has it, then the one with the greater name; the other
 //!    takes nothing new. Sources whose lists are passed on as they are are not held to that among their own lines.
+//! 6. A source that only lists ([`Source::lists_only`]: DNS) tells no starts and no drains. Another source's node has
+//!    an address before its node, however late that came. That another source told of a node at an address to drain,
+//!    to be gone or to have moved away stands, also when that source forgets the node, for as long as only such sources
+//!    list one there; it ends when another source lists a ready node there, or when nothing is listed there any more.
+//! 7. What an advisory source says to drain stays drained until an authority that does not only list says otherwise.
 //!
 //! The work of a change does not grow with the number of nodes.
 
@@ -19,10 +24,14 @@
 use crate::table::{Id, Millis};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// Nodes that have gone and can still be explained.
 const DEPARTED: usize = 256;
+/// Addresses whose drains are remembered, and for how long while nothing is listed there: as long as a list that is
+/// behind may still come, an hour, the longest lifetime of a record of DNS.
+const MOST_DRAINED: usize = 4096;
+const DRAINED_FOR: Millis = 3_600_000;
 
 /// A moment, on both clocks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -116,12 +125,14 @@
     pub authority: bool,
     /// Whether its lines are passed on as they are, even two at one address: the platform's discovery.
     pub as_told: bool,
+    /// Whether it tells which nodes there are and no more: neither their starts nor their drains.
+    pub lists_only: bool,
 }
 
 impl Source {
     /// A source whose word counts.
     pub fn authority(name: &str) -> Source {
-        Source { name: name.into(), authority: true, as_told: false }
+        Source { name: name.into(), authority: true, as_told: false, lists_only: false }
     }
 
     /// A source whose lines are passed on as they are.
@@ -129,6 +140,11 @@
         Source { as_told: true, ..Source::authority(name) }
     }
 
+    /// A source that tells which nodes there are and no more.
+    pub fn lists_only(name: &str) -> Source {
+        Source { lists_only: true, ..Source::authority(name) }
+    }
+
     /// A source that fills in until the others have spoken.
     pub fn advisory(name: &str) -> Source {
         Source { authority: false, ..Source::authority(name) }
@@ -152,6 +168,17 @@
         Report { whole: true, entries, withdrawn: Vec::new() }
     }
 
+    /// Takes the address from each node for which `check` gives a reason against it, and notes that reason: the node
+    /// stands in the book, and nothing is sent to it.
+    pub fn shut_out<E: std::fmt::Display>(&mut self, check: impl Fn(IpAddr) -> Result<(), E>) {
+        for entry in &mut self.entries {
+            if let Some(Err(reason)) = entry.address.map(|at| check(at.ip())) {
+                entry.address = None;
+                entry.note = reason.to_string();
+            }
+        }
+    }
+
     /// What has changed.
     pub fn changes(entries: Vec<Entry>) -> Report {
         Report { whole: false, entries, withdrawn: Vec::new() }
@@ -186,6 +213,17 @@
     pub boot_ms: f64,
 }
 
+/// What holds a node back from requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hold {
+    /// Nothing: it is ready.
+    Nothing,
+    /// A source that knows of drains told one of it.
+    Drain,
+    /// Something that may be otherwise at once: its address is another's, or none; it is a reserve.
+    Other,
+}
+
 /// Why a node is listed as it is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Explanation {
@@ -222,6 +260,8 @@
     Says(usize, State),
     NoAddress(usize),
     AddressOf(Id),
+    /// This node was told to drain at the same address, in these words.
+    DrainedThere(Id, String),
     NotListed,
     KeptUntilHeard(usize),
 }
@@ -250,6 +290,16 @@
     words: Vec<Word>,
 }
 
+/// A drain or gone told at an address, by a source that does not list a node there any more.
+#[derive(Debug, Clone)]
+struct Drained {
+    id: Id,
+    because: String,
+    at: Millis,
+    /// A node of a source that only lists stands there: the drain holds it back.
+    holds: bool,
+}
+
 struct Held {
     source: Source,
     rows: BTreeMap<Id, Told>,
@@ -263,6 +313,9 @@
     list: BTreeMap<Id, Listed>,
     addresses: BTreeMap<SocketAddr, BTreeSet<Id>>,
     departed: VecDeque<Departed>,
+    drained: BTreeMap<SocketAddr, Drained>,
+    /// Counts what has changed in the list.
+    changes: u64,
 }
 
 impl Book {
@@ -275,19 +328,31 @@
             list: BTreeMap::new(),
             addresses: BTreeMap::new(),
             departed: VecDeque::new(),
+            drained: BTreeMap::new(),
+            changes: 0,
         }
     }
 
+    /// Counts what has changed in the list, so that a reader knows whether it has to look.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Takes in what a source reports, by the source's place among [`Book::new`]'s. The update is whole if the
-    /// report is and comes from the only source.
+    /// report is, and comes from the only source, which is passed on as told.
     pub fn take(&mut self, now: Moment, source: usize, report: Report) -> Update {
         let Report { whole, entries, mut withdrawn } = report;
-        let mut affected: Vec<Id> = entries.iter().map(|entry| entry.id.clone()).collect();
         let alone = self.sources.len() == 1;
+        // Guards the platform's discovery against any change in what the module is told of it.
+        let as_told = alone && self.sources[source].source.as_told;
+        let mut affected: Vec<Id> = Vec::new();
+        if self.sources.iter().any(|held| held.source.lists_only) {
+            self.note_drains(now, source, whole, &entries, &withdrawn);
+        }
         let held = &mut self.sources[source];
         held.heard = Some(now.monotonic);
         if whole {
-            let named: BTreeSet<&Id> = affected.iter().collect();
+            let named: BTreeSet<&Id> = entries.iter().map(|entry| &entry.id).collect();
             withdrawn.extend(held.rows.keys().filter(|id| !named.contains(id)).cloned());
         }
         let first_whole = whole && !held.told_whole;
@@ -295,9 +360,16 @@
         for entry in entries {
             match held.rows.get_mut(&entry.id) {
                 Some(told) if told.entry.is_same(&entry) => {
+                    // What says nothing new costs this comparison and no more.
+                    if as_told {
+                        affected.push(entry.id.clone());
+                    }
                     (told.entry.revision, told.entry.note) = (entry.revision, entry.note);
                 }
-                _ => drop(held.rows.insert(entry.id.clone(), Told { entry, at: now.monotonic })),
+                _ => {
+                    affected.push(entry.id.clone());
+                    held.rows.insert(entry.id.clone(), Told { entry, at: now.monotonic });
+                }
             }
         }
         for id in &withdrawn {
@@ -309,9 +381,7 @@
             let advisory = self.sources.iter().filter(|held| !held.source.authority);
             affected.extend(advisory.flat_map(|held| held.rows.keys().cloned()));
         }
-        // Guards the platform's discovery against any change in what the module is told of it.
-        let as_told = alone && self.sources[source].source.as_told;
-        let whole = whole && alone;
+        let whole = whole && as_told;
         let mut update =
             Building { whole, all: whole || as_told, nodes: Vec::new(), places: BTreeMap::new() };
         let mut seen = BTreeSet::new();
@@ -328,6 +398,67 @@
         Update { whole: update.whole, nodes: update.nodes }
     }
 
+    /// Remembers the drains that a report takes out of the book, and forgets those that it ends.
+    fn note_drains(&mut self, now: Moment, source: usize, whole: bool, entries: &[Entry], withdrawn: &[Id]) {
+        let Held { source: from, rows, .. } = &self.sources[source];
+        if from.lists_only || mutant!(ForgetDrains) {
+            return;
+        }
+        let named: BTreeSet<&Id> = entries.iter().map(|entry| &entry.id).collect();
+        let lacks = rows.iter().filter(|(id, _)| whole && !named.contains(id));
+        let gone = withdrawn.iter().filter_map(|id| rows.get_key_value(id)).chain(lacks);
+        let of = |told: &Told| {
+            let Entry { id, address, state, note, .. } = &told.entry;
+            let because = format!("'{}' said {} of '{id}' there{}", from.name, state.word(), behind(note));
+            let drained = Drained { id: id.clone(), because, at: now.monotonic, holds: false };
+            (*state != State::Ready).then_some((*address)?).map(|at| (at, drained))
+        };
+        let mut noted: Vec<(SocketAddr, Drained)> = gone.filter_map(|(_, told)| of(told)).collect();
+        for entry in entries {
+            let before = rows.get(&entry.id).and_then(|told| told.entry.address);
+            if let Some(left) = before.filter(|left| Some(*left) != entry.address && from.authority) {
+                let because = format!("'{}' moved '{}' away from there", from.name, entry.id);
+                let drained = Drained { id: entry.id.clone(), because, at: now.monotonic, holds: false };
+                noted.push((left, drained));
+            }
+            match entry.state {
+                // Of an advisory source a drain is all that is ever known of it.
+                State::Draining if !from.authority => {
+                    noted.extend(of(&Told { entry: entry.clone(), at: now.monotonic }));
+                }
+                State::Gone => noted.extend(of(&Told { entry: entry.clone(), at: now.monotonic })),
+                State::Ready if from.authority => drop(entry.address.and_then(|at| self.drained.remove(&at))),
+                _ => {}
+            }
+        }
+        for (at, drained) in noted {
+            let holds = self.drained.get(&at).is_some_and(|known| known.holds);
+            self.drained.insert(at, Drained { holds, ..drained });
+        }
+        while self.drained.len() > MOST_DRAINED {
+            let oldest = self.drained.iter().min_by_key(|(_, drained)| (drained.holds, drained.at));
+            let Some(at) = oldest.map(|(at, _)| *at) else { return };
+            self.drained.remove(&at);
+        }
+    }
+
+    /// Drains that are remembered: the node's name, its address, and what was said.
+    pub fn drained(&self) -> impl Iterator<Item = (&Id, SocketAddr, &str)> {
+        self.drained.iter().map(|(at, drained)| (&drained.id, *at, drained.because.as_str()))
+    }
+
+    /// Whether each authority that lists a node does no more than list.
+    fn is_only_listed(&self, id: &Id) -> bool {
+        let mut listing =
+            self.sources.iter().filter(|held| held.source.authority && held.rows.contains_key(id));
+        let mut any = false;
+        let only = listing.all(|held| {
+            any = true;
+            held.source.lists_only
+        });
+        any && only
+    }
+
     /// All that is listed, for a reader that begins with it.
     pub fn whole(&self) -> Update {
         Update { whole: true, nodes: self.nodes().cloned().collect() }
@@ -338,6 +469,35 @@
         self.list.values().map(|listed| &listed.entry)
     }
 
+    /// The nodes listed, each with whether an authority lists it (else only a list of an earlier run), and with what
+    /// holds it back.
+    pub fn listed(&self) -> impl Iterator<Item = (&Entry, bool, Hold)> {
+        let hold = |listed: &Listed| match &listed.because {
+            _ if listed.entry.state == State::Ready => Hold::Nothing,
+            Because::Says(source, _) if !self.sources[*source].source.lists_only => Hold::Drain,
+            _ => Hold::Other,
+        };
+        self.list.iter().map(move |(id, listed)| (&listed.entry, self.is_listed(id), hold(listed)))
+    }
+
+    /// Nodes of which the sources say different things, in the order of their names.
+    pub fn disputed(&self) -> impl Iterator<Item = &Id> {
+        let differs = |id: &Id, listed: &Listed| {
+            if matches!(listed.because, Because::AddressOf(_) | Because::DrainedThere(..)) {
+                return true;
+            }
+            let authorities = self.sources.iter().filter(|held| held.source.authority);
+            let mut words = authorities.filter_map(|held| held.rows.get(id)).map(|told| &told.entry);
+            let Some(first) = words.next() else { return false };
+            words.any(|other| other.state != first.state || other.address != first.address)
+        };
+        self.list.iter().filter(move |(id, listed)| differs(id, listed)).map(|(id, _)| id)
+    }
+
+    fn is_listed(&self, id: &Id) -> bool {
+        self.sources.iter().any(|held| held.source.authority && held.rows.contains_key(id))
+    }
+
     /// How many nodes are listed.
     pub fn len(&self) -> usize {
         self.list.len()
@@ -363,7 +523,9 @@
             });
         };
         let note = match listed.because {
-            Because::Says(source, _) => self.sources[source].rows.get(id).map_or("", |told| &told.entry.note),
+            Because::Says(source, _) | Because::NoAddress(source) => {
+                self.sources[source].rows.get(id).map_or("", |told| &told.entry.note)
+            }
             _ => "",
         };
         Some(Explanation {
@@ -417,8 +579,13 @@
                 format!("'{}' says {}", name(source), state.word())
             }
             Because::Says(source, state) => format!("'{}' says {}: {note}", name(source), state.word()),
-            Because::NoAddress(source) => format!("'{}' tells no address for it", name(source)),
-            Because::AddressOf(other) => format!("its address belongs to '{other}', which started later"),
+            Because::NoAddress(source) => {
+                format!("'{}' tells no address for it{}", name(source), behind(note))
+            }
+            Because::AddressOf(other) => format!("its address belongs to '{other}', which goes before it"),
+            Because::DrainedThere(_, said) => {
+                format!("{said}, and only sources that tell no drains list a node there now")
+            }
             Because::NotListed => "no source lists it any more".to_string(),
             Because::KeptUntilHeard(source) => {
                 format!("'{}' keeps it until each source has been heard", name(source))
@@ -446,8 +613,16 @@
         };
         let (place, source, told) = first;
         let mut entry = told.entry.clone();
-        for (_, _, other) in words().filter(counts) {
-            entry.boot_ms = entry.boot_ms.max(other.entry.boot_ms);
+        // A source that only lists knows when it saw a node first, and not when that started.
+        let only_listed = words().filter(counts).all(|(_, source, _)| source.lists_only);
+        let starts = words().filter(counts).filter(|(_, source, _)| only_listed || !source.lists_only);
+        entry.boot_ms = starts.map(|(_, _, other)| other.entry.boot_ms).fold(0.0, f64::max);
+        if because.is_some() {
+            entry.boot_ms = told.entry.boot_ms;
+        }
+        if entry.address.is_none() {
+            // What one source tells no address for, or one that is shut out, another may.
+            entry.address = words().filter(counts).find_map(|(_, _, other)| other.entry.address);
         }
         let because = because.unwrap_or(Because::Listed(place));
         let mut listed = Listed { entry, because, since: now.monotonic, moved_boot: None };
@@ -457,7 +632,9 @@
         for (at, source, other) in words() {
             let says = other.entry.state;
             let earlier = other.entry.boot_ms > 0.0 && other.entry.boot_ms < entry.boot_ms;
-            let unheard = !source.authority && at != place;
+            // A drain of an earlier run counts until one that knows of drains lists the node.
+            let unheard =
+                !source.authority && at != place && (says == State::Ready || settled || !only_listed);
             let passed_over = earlier || unheard || (mutant!(FirstSourceWins) && at != place);
             if says > entry.state && !passed_over {
                 entry.state = says;
@@ -468,6 +645,15 @@
             entry.state = State::Draining;
             listed.because = Because::NoAddress(place);
         }
+        if entry.state == State::Ready && only_listed {
+            let drained = entry.address.and_then(|at| self.drained.get(&at));
+            let stands =
+                |known: &&Drained| known.holds || now.monotonic.saturating_sub(known.at) < DRAINED_FOR;
+            if let Some(drained) = drained.filter(stands) {
+                entry.state = State::Draining;
+                listed.because = Because::DrainedThere(drained.id.clone(), drained.because.clone());
+            }
+        }
         // What is passed on as it is keeps its own word on its address, too.
         if !source.as_told {
             if let Some(known) = self.list.get(id) {
@@ -494,8 +680,20 @@
         let before = self.list.get(id).and_then(|listed| listed.entry.address);
         let living = merged.as_ref().filter(|listed| listed.entry.state != State::Gone);
         let after = living.and_then(|listed| listed.entry.address);
+        if let Some(listed) =
+            merged.as_ref().filter(|listed| matches!(listed.because, Because::DrainedThere(..)))
+        {
+            if let Some(drained) = listed.entry.address.and_then(|at| self.drained.get_mut(&at)) {
+                drained.holds = true;
+            }
+        }
         if let Some(at) = before.filter(|at| Some(*at) != after) {
             self.forget_address(at, id);
+            // Whoever stood there has left: what comes there next is another.
+            if !self.addresses.contains_key(&at) && self.drained.get(&at).is_some_and(|drained| drained.holds)
+            {
+                self.drained.remove(&at);
+            }
             neighbours.extend(self.addresses.get(&at).into_iter().flatten().cloned());
         }
         if let Some(at) = after {
@@ -534,9 +732,11 @@
         }
         let here = self.addresses.get(&listed.entry.address?)?;
         let known = here.iter().filter(|other| *other != id).filter_map(|other| self.list.get(other));
-        let rank = |entry: &Entry| (entry.boot_ms.max(0.0).to_bits(), entry.id.clone());
+        let knows_more = |id: &Id| !self.is_only_listed(id) || mutant!(ListerOutranks);
+        let rank =
+            |entry: &Entry| (knows_more(&entry.id), entry.boot_ms.max(0.0).to_bits(), entry.id.clone());
         let later = known.map(|other| rank(&other.entry)).filter(|other| *other > rank(&listed.entry));
-        later.max().map(|(_, id)| id)
+        later.max().map(|(_, _, id)| id)
     }
 
     fn forget_address(&mut self, at: SocketAddr, id: &Id) {
@@ -554,6 +754,7 @@
             let Some(mut known) = self.list.remove(id) else { return };
             known.entry.state = State::Gone;
             (known.because, known.since) = (Because::NotListed, now.monotonic);
+            self.changes += 1;
             if !update.whole {
                 update.put(known.entry.clone());
             }
@@ -565,6 +766,7 @@
         if let Some(known) = known.filter(|known| known.entry.state == listed.entry.state) {
             listed.since = known.since;
         }
+        self.changes += u64::from(!same);
         if !same || update.all {
             update.put(listed.entry.clone());
         }
@@ -581,6 +783,15 @@
     }
 }
 
+/// A note, behind what it is a note on.
+fn behind(note: &str) -> String {
+    if note.is_empty() {
+        String::new()
+    } else {
+        format!(": {note}")
+    }
+}
+
 /// An update that is being made.
 struct Building {
     whole: bool,
--- a/crates/brassport/src/backends.rs
+++ b/crates/brassport/src/backends.rs
@@ -95,6 +95,7 @@
     pub fn put(&self, id: ServerId, address: SocketAddr, ready: bool) {
         let mut known = self.known.borrow_mut();
         let backend = known.entry(id).or_insert(Backend { address, ready, idle: Vec::new() });
+        let address = if mutant!(KeepOldAddress) { backend.address } else { address };
         if backend.address != address || !ready {
             backend.idle.clear();
         }
@@ -281,7 +282,7 @@
 fn judge(answer: Response<Bytes>) -> End {
     let header = |name| answer.headers().get(name).and_then(|value| value.to_str().ok());
     let used = used(answer.headers());
-    let turned_away = header("x-not-run").is_some_and(|text| text.trim() == "1");
+    let turned_away = header("x-not-run").is_some_and(|text| text.trim() == "1") || mutant!(TrustPlain503);
     if mutant!(ErrorNeverRan) && answer.status() == StatusCode::INTERNAL_SERVER_ERROR {
         return End { outcome: Outcome::Full, used, answer: None };
     }
--- a/crates/brassport/src/main.rs
+++ b/crates/brassport/src/main.rs
@@ -38,7 +38,7 @@
 The front door of a render fleet.
 
   brassport                  serve on the platform, as BALANCER_CONFIG says
-  brassport --config FILE    serve as the file says, with its sources of nodes (Nomad, a file)
+  brassport --config FILE    serve as the file says, with its sources of nodes (Nomad, DNS, a file)
   brassport check-config FILE  check such a file without starting
   brassport nodes book|why NAME  what the sources of a running appliance say
   brassport try              run a whole site on loopback, and watch it
--- a/crates/brassport/src/network.rs
+++ b/crates/brassport/src/network.rs
@@ -1,4 +1,4 @@
-//! The seam to the network: listen, connect, and streams that read, write, close and reset.
+//! The seam to the network: listen, connect, streams that read, write, close and reset, and datagrams.
 //!
 //! Production uses [`Tcp`], which is `tokio::net` and nothing else: the code is compiled against its types, so
 //! the seam costs no call per byte.
@@ -7,9 +7,9 @@
 use std::io;
 use std::net::SocketAddr;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
-/// A network of stream sockets. Clones are handles of one network.
+/// A network of sockets. Clones are handles of one network.
 ///
 /// The host of an implementation owes, as TCP does:
 /// - bytes arrive in order and unchanged, or not at all;
@@ -20,12 +20,27 @@
     type Stream: AsyncRead + AsyncWrite + Unpin + 'static;
     /// A socket that listens.
     type Listener: Listener<Stream = Self::Stream>;
+    /// A socket for datagrams.
+    type Datagrams: Datagrams;
 
     /// Listens on this address only.
     fn listen(&self, at: SocketAddr) -> impl Future<Output = io::Result<Self::Listener>>;
 
     /// Opens a connection. May take for ever: the caller sets the bound.
     fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
+
+    /// Opens a socket for datagrams at this address. With port 0 the host chooses one, which must be hard to guess.
+    fn datagrams(&self, at: SocketAddr) -> impl Future<Output = io::Result<Self::Datagrams>>;
+}
+
+/// A socket for datagrams, as UDP has: each comes whole, or not at all, perhaps twice, in any order, from anybody.
+pub trait Datagrams: 'static {
+    /// Sends one.
+    fn send_to(&self, bytes: &[u8], to: SocketAddr) -> impl Future<Output = io::Result<()>>;
+
+    /// The next one that came: its length, and where it says that it comes from. What the buffer does not hold is
+    /// lost. Dropping the future before it is ready loses none.
+    fn recv_from(&self, buffer: &mut [u8]) -> impl Future<Output = io::Result<(usize, SocketAddr)>>;
 }
 
 /// A socket that listens. Connections wait in its backlog until they are accepted.
@@ -37,13 +52,14 @@
     fn accept(&self) -> impl Future<Output = io::Result<Self::Stream>>;
 }
 
-/// TCP of the system, without Nagle's delay.
+/// TCP of the system, without Nagle's delay, and UDP.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Tcp;
 
 impl Network for Tcp {
     type Stream = TcpStream;
     type Listener = TcpListener;
+    type Datagrams = UdpSocket;
 
     async fn listen(&self, at: SocketAddr) -> io::Result<TcpListener> {
         TcpListener::bind(at).await
@@ -54,6 +70,20 @@
         stream.set_nodelay(true)?;
         Ok(stream)
     }
+
+    async fn datagrams(&self, at: SocketAddr) -> io::Result<UdpSocket> {
+        UdpSocket::bind(at).await
+    }
+}
+
+impl Datagrams for UdpSocket {
+    async fn send_to(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        UdpSocket::send_to(self, bytes, to).await.map(drop)
+    }
+
+    async fn recv_from(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        UdpSocket::recv_from(self, buffer).await
+    }
 }
 
 impl Listener for TcpListener {
