State the decisions' memory, and give back that of customers who are forgotten

A table keeps what it once grew to: after a million customers a door would have held their memory for good (8% of it with 200,000).

--- a/crates/springusher-counts/src/lib.rs
+++ b/crates/springusher-counts/src/lib.rs
@@ -17,7 +17,7 @@
 use std::array::IntoIter;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
-use std::hash::Hasher;
+use std::hash::{BuildHasher, Hash, Hasher};
 use std::iter::Flatten;
 
 /// A moment or a span, in milliseconds.
@@ -118,11 +118,20 @@
 }
 
 /// What is known under names that others may have chosen: clients cannot make them collide. To be taken out of with
-/// `swap_remove`.
+/// [`take_out`].
 pub type Known<K, V> = IndexMap<K, V>;
 /// What is known under names that are given here or by operators.
 pub type Own<K, V> = IndexMap<K, V, FxBuildHasher>;
 
+/// Takes an entry out, and gives memory back once a map has shrunk to a quarter of what it was made for.
+pub fn take_out<K: Hash + Eq, V, S: BuildHasher>(map: &mut IndexMap<K, V, S>, key: &K) -> Option<V> {
+    let value = map.swap_remove(key);
+    if map.capacity() > 64 && map.len() < map.capacity() / 4 {
+        map.shrink_to(2 * map.len());
+    }
+    value
+}
+
 /// Goes round a map, a few entries at each step, however the map changes in between.
 #[derive(Debug, Clone, Default)]
 pub struct Rounds<const STEP: usize> {
--- a/crates/springusher/src/ceilings.rs
+++ b/crates/springusher/src/ceilings.rs
@@ -26,10 +26,6 @@
             return Err(0.0);
         }
         self.0.fill(now, plan.ceiling_rate / holders, store / holders);
-        if self.0.take(request.units) {
-            Ok(())
-        } else {
-            Err(settings.max_retry_after)
-        }
+        self.0.take(request.units).then_some(()).ok_or(settings.max_retry_after)
     }
 }
--- a/crates/springusher/src/control.rs
+++ b/crates/springusher/src/control.rs
@@ -7,7 +7,7 @@
 use crate::life::{Open, LATE, PATIENCE};
 use crate::room::Room;
 use oorandom::Rand64;
-use springusher_counts::{blend, Known, Own, Rounds};
+use springusher_counts::{blend, take_out, Known, Own, Rounds};
 use std::collections::VecDeque;
 
 // All constants of the decisions are dimensionless; times and rates come from the settings.
@@ -42,7 +42,7 @@
     rng: Rand64,
     born: Millis,
     pub(crate) now: Millis,
-    pub(crate) customers: Known<CustomerId, Customer>,
+    pub(crate) customers: Known<CustomerId, Box<Customer>>,
     pub(crate) admission: Admission,
     swept: Millis,
     sweep: Rounds<SWEEP>,
@@ -172,13 +172,15 @@
     /// The chance that the customer's quota leaves to the request.
     fn quota(&mut self, request: &Request) -> f64 {
         let (now, plan) = (self.now, &self.settings.plans[request.plan]);
-        let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
-            plan: request.plan,
-            seen: now,
-            account: Account::new(plan, request.spread, self.born, now),
-            ceiling: Ceiling::new(self.born),
-            open: 0,
-            held: VecDeque::new(),
+        let customer = self.customers.entry(request.customer).or_insert_with(|| {
+            Box::new(Customer {
+                plan: request.plan,
+                seen: now,
+                account: Account::new(plan, request.spread, self.born, now),
+                ceiling: Ceiling::new(self.born),
+                open: 0,
+                held: VecDeque::new(),
+            })
         });
         (customer.seen, customer.plan) = (now, request.plan);
         self.admission.chance(&mut customer.account, plan, request, now)
@@ -194,12 +196,12 @@
     /// customers that have been idle long enough for every store of theirs to be full again.
     fn sweep(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
-        let is_idle = |customer: &Customer| {
+        let idle = self.sweep.next(&self.customers, |customer| {
             let full = self.settings.plans[customer.plan].filling().max(1000.0);
             now >= customer.seen + IDLE_FILLS * full && customer.open == 0 && customer.held.is_empty()
-        };
-        for id in self.sweep.next(&self.customers, is_idle) {
-            self.customers.swap_remove(&id);
+        });
+        for id in idle {
+            take_out(&mut self.customers, &id);
         }
         if now < self.swept + 1000.0 {
             return;
--- /dev/null
+++ b/crates/springusher/tests/memory.rs
@@ -0,0 +1,127 @@
+//! What the module keeps for each node, customer and open request, and that it gives it back. Alone in its process, as
+//! the count is the process's.
+
+use springusher::{
+    Action, AttemptEnd, Class, Effect, Event, Gateway, Lifecycle, ListKind, Millis, Outcome, Plan, Request,
+    ServerEntry, Settings,
+};
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const NODES: u32 = 10_000;
+const CUSTOMERS: u64 = 200_000;
+const OPEN: u64 = 20_000;
+
+struct Door {
+    gateway: Gateway,
+    actions: Vec<Action>,
+    now: Millis,
+    next: u64,
+    sent: Vec<u64>,
+}
+
+impl Door {
+    fn ask(&mut self, customer: u64) {
+        self.next += 1;
+        let request = Request {
+            id: self.next,
+            customer,
+            plan: usize::from(customer >= CUSTOMERS),
+            class: 0,
+            units: 1.0,
+            spread: 3,
+            expires_in: 3000.0,
+            repeat: false,
+        };
+        self.gateway.handle(self.now, Event::Request(request), &mut self.actions);
+        let sent = self.actions.drain(..).filter_map(|action| match action {
+            Action::Send { request, .. } => Some(request),
+            _ => None,
+        });
+        self.sent.extend(sent);
+    }
+
+    fn answer(&mut self) {
+        for request in std::mem::take(&mut self.sent) {
+            let (outcome, used) = (Outcome::Ok, Some(0.5));
+            let end = AttemptEnd { request, attempt: 0, outcome, elapsed: 20.0, finished: true, used };
+            self.gateway.handle(self.now, Event::AttemptEnd(end), &mut self.actions);
+            self.actions.clear();
+        }
+    }
+}
+
+#[test]
+fn memory_is_so_much_for_each_and_is_given_back() {
+    let settings = Settings {
+        gateways: 3,
+        classes: vec![Class {
+            worth: 1.0,
+            aim: 500.0,
+            deadline: 3000.0,
+            late_share: 0.0,
+            effect: Effect::Free,
+        }],
+        plans: vec![Plan { rate: 1.0, burst: 5.0, price: 1.0, ..Plan::default() }, Plan::default()],
+        meter_period: 500.0,
+        max_attempts: 4,
+        max_retry_after: 500.0,
+        ..Settings::default()
+    };
+    let region = Region::new(ALLOCATOR);
+    let used = || {
+        let change = region.change();
+        change.bytes_allocated as f64 - change.bytes_deallocated as f64
+    };
+    let gateway = Gateway::new(settings, 1, 0.0).expect("the settings make sense");
+    let room = (Vec::with_capacity(16), Vec::with_capacity(OPEN as usize * 2));
+    let mut door = Door { gateway, actions: room.0, now: 1.0, next: 0, sent: room.1 };
+    let empty = used();
+    let line =
+        |id| ServerEntry { id, zone: 0, cell: 0, share: 1.0, lifecycle: Lifecycle::Ready, launched: None };
+    let entries: Vec<ServerEntry> = (0..NODES).map(line).collect();
+    door.gateway.handle(1.0, Event::Servers { kind: ListKind::Full, entries }, &mut door.actions);
+    door.actions.clear();
+    let with_nodes = used();
+    let node = (with_nodes - empty) / f64::from(NODES);
+
+    // Two customers without a quota, so that it is the requests that are counted.
+    for number in 0..OPEN {
+        door.now += 0.01;
+        door.ask(CUSTOMERS + number % 2);
+    }
+    let open = door.sent.len();
+    let request = (used() - with_nodes) / open as f64;
+    assert!(open > OPEN as usize / 3, "only {open} of {OPEN} were let in");
+    door.now += 20.0;
+    door.answer();
+    door.sent.reserve(OPEN as usize * 2);
+
+    let before = used();
+    for number in 0..CUSTOMERS {
+        door.now += 0.2;
+        door.ask(number);
+        door.answer();
+        door.sent.reserve(8);
+    }
+    let customer = (used() - before) / CUSTOMERS as f64;
+
+    // All but one are idle for longer than their stores take to fill; each of its requests looks at four.
+    door.now += 30.0 * 5000.0;
+    for _ in 0..CUSTOMERS {
+        door.now += 1.0;
+        door.ask(7);
+        door.answer();
+    }
+    let left = (used() - before) / (customer * CUSTOMERS as f64);
+    println!(
+        "bytes for a node {node:.0}, an open request {request:.0}, a customer {customer:.0}; left {left:.3}"
+    );
+    assert!(node < 700.0, "{node} bytes for a node");
+    assert!(request < 900.0, "{request} bytes for an open request");
+    assert!(customer < 700.0, "{customer} bytes for a customer");
+    assert!(left < 0.05, "{left} of the customers' memory is not given back");
+}
