Let late answers of cold nodes close no door while most nodes are warm

Played at scale, a third of 400 nodes that started anew behind 20 doors (load 0.45) cost 2.3% of all requests: refused for want of room, while two thirds of the fleet had it. A cold node has its turns however long its queue is, so its late and full answers say little of the others; they count where most nodes are cold.

--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -144,6 +144,13 @@
         }
     }
 
+    /// Whether a server's answers tell of the fleet's room: those of a cold one, which has its turns however
+    /// long its queue, only where most are cold. Guards against refusals by all when a part starts anew.
+    pub fn is_telling(&self, id: ServerId) -> bool {
+        let is_warm = |server: &Server| server.cold.is_none();
+        self.cold.0 > self.warm.row().len() || self.servers.get(&id).is_none_or(is_warm)
+    }
+
     /// Whether a server holds work of ours and has said nothing for long, or is not there any more.
     pub fn is_silent(&self, id: ServerId, now: Millis, mean: Millis) -> bool {
         self.servers.get(&id).is_none_or(|server| server.silence(now, mean) > SILENCE)
--- a/crates/springusher/src/control.rs
+++ b/crates/springusher/src/control.rs
@@ -243,21 +243,18 @@
 
     /// Learns from the end of an attempt.
     pub(crate) fn judge(&mut self, class: usize, id: ServerId, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let now = self.now;
-        let mean = self.answer_time[class].max(1.0);
+        let (mean, aim) = (self.answer_time[class].max(1.0), self.settings.classes[class].aim);
         match end.outcome {
-            Outcome::Ok => {
-                let aim = self.settings.classes[class].aim;
-                self.adapt(class, end.time() <= LATE * aim);
-            }
+            _ if !self.fleet.is_telling(id) => {}
+            Outcome::Ok => self.adapt(class, end.time() <= LATE * aim),
             Outcome::Full | Outcome::TimedOut => {
-                self.room.full_at = if end.outcome == Outcome::Full { now } else { self.room.full_at };
+                self.room.full_at = if end.outcome == Outcome::Full { self.now } else { self.room.full_at };
                 self.adapt(class, false);
             }
             _ => {}
         }
         let means = (self.mean_answer(), mean);
-        actions.extend(self.fleet.judge(now, id, end, means).map(Action::Log));
+        actions.extend(self.fleet.judge(self.now, id, end, means).map(Action::Log));
         if end.outcome == Outcome::Ok {
             blend(&mut self.answer_time[class], end.time(), SAMPLE / 5.0);
         }
--- a/crates/springusher/src/life.rs
+++ b/crates/springusher/src/life.rs
@@ -130,7 +130,8 @@
         let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
         let class = open.request.class;
         let due = self.now - LATE * self.settings.classes[class].aim;
-        if open.attempts.last().is_some_and(|last| last.out && last.sent <= due) {
+        let is_late = |last: &Attempt| last.out && last.sent <= due && self.fleet.is_telling(last.to.id);
+        if open.attempts.last().is_some_and(is_late) {
             self.adapt(class, false);
         }
         let open = &self.requests[&id];
@@ -141,10 +142,7 @@
             return;
         }
         let free = self.settings.classes[open.request.class].effect == Effect::Free;
-        let Some(last) = open.attempts.last() else { return };
-        if !last.out {
-            return;
-        }
+        let Some(last) = open.attempts.last().filter(|last| last.out) else { return };
         if self.may_try_again(open) {
             self.further(id, actions);
         } else if free && !self.settings.may_duplicate && self.settings.may_cancel {
--- a/crates/springusher/tests/overload.rs
+++ b/crates/springusher/tests/overload.rs
@@ -106,6 +106,39 @@
     assert_eq!(out, 50);
 }
 
+/// The share that there is room for after some seconds in which servers up to `last` are cold and late, and the others
+/// answer soon.
+fn room_with_late_cold_ones(servers: u32, last: u32) -> f64 {
+    let cold = |id| ServerEntry { launched: (id <= last).then_some(0.0), ..server(id) };
+    let servers: Vec<_> = (1..=servers).map(cold).collect();
+    let mut host =
+        Host::new(Settings { cold_from: 0.9, cold_for: 60_000.0, max_attempts: 1, ..settings() }, &servers);
+    let mut hand: std::collections::BTreeMap<(u64, RequestId), (RequestId, Millis)> = Default::default();
+    for step in 0..1500u64 {
+        let now = 10.0 * step as f64;
+        host.run_timers(now);
+        while let Some(due) = hand.first_entry().filter(|due| due.key().0 <= step) {
+            let (id, elapsed) = due.remove();
+            answer(&mut host, id, elapsed);
+        }
+        let (id, actions) = host.ask(1, 3, 0);
+        if let Some(to) = sends(&actions).first() {
+            let elapsed = if *to <= last { 900.0 } else { 30.0 };
+            hand.insert((step + elapsed as u64 / 10, id), (id, elapsed));
+        }
+    }
+    host.gateway.room().1
+}
+
+#[test]
+fn cold_servers_that_are_late_shut_no_door_to_the_others() {
+    let room = room_with_late_cold_ones(40, 19);
+    assert!(room > 0.9, "room for {room} with 21 servers that answer soon");
+    // Where most are cold there is nobody else who could tell.
+    let room = room_with_late_cold_ones(40, 40);
+    assert!(room < 0.5, "room for {room} with nothing but late servers");
+}
+
 #[test]
 fn long_answers_alone_do_not_shut_the_door() {
     let servers: Vec<_> = (1..=8).map(server).collect();
