--- a/crates/springusher/tests/choice.rs
+++ b/crates/springusher/tests/choice.rs
@@ -345,3 +345,67 @@
     // None is answered, so that what is in hand alone tells between them.
     assert_eq!(sent, [3, 3]);
 }
+
+#[test]
+fn the_only_server_of_the_own_zone_among_5000_is_not_run_over() {
+    let mut entries: Vec<ServerEntry> = (0..5000).map(|id| ServerEntry { zone: 1, ..line(id) }).collect();
+    entries[17].zone = 0;
+    let mut door = Door::new(11, entries);
+    let (mut near, mut all) = (0, BTreeMap::new());
+    // Nothing is answered: what is out is all that there is to go by.
+    for number in 0..5000 {
+        let Some((_, server)) = door.ask(1.0 + f64::from(number) * 0.001) else { continue };
+        near += u32::from(server == 17);
+        *all.entry(server).or_insert(0u32) += 1;
+    }
+    assert!(all.values().sum::<u32>() > 4000, "{} of 5,000 were sent on", all.values().sum::<u32>());
+    assert!(near <= 4, "{near} at the one near server");
+    assert!(all.values().all(|count| *count <= 4), "{} at one server", all.values().max().expect("some"));
+}
+
+#[test]
+fn half_of_a_fleet_that_freezes_in_one_instant_gets_little_more_than_one_attempt_each() {
+    let mut door = Door::new(12, (0..400).map(line).collect());
+    let mut out = std::collections::VecDeque::new();
+    let (mut to_frozen, mut to_others) = (0u32, 0u32);
+    for number in 0..20_000u64 {
+        let now = number as f64;
+        while out.front().is_some_and(|(at, _)| *at <= now) {
+            let (_, request) = out.pop_front().expect("there is one");
+            door.end(now, request, Outcome::Ok);
+        }
+        let Some((request, server)) = door.ask(now) else { continue };
+        let is_frozen = server < 200 && now >= 2000.0;
+        if is_frozen {
+            to_frozen += 1;
+        } else {
+            to_others += u32::from(now >= 2000.0);
+            out.push_back((now + 20.0, request));
+        }
+    }
+    assert!(to_others > 15_000, "{to_others} of 18,000 went to servers that answer");
+    assert!(to_frozen < 2 * 200, "{to_frozen} went to 200 frozen servers");
+}
+
+#[test]
+fn two_hundred_gateways_that_know_nothing_of_each_other_do_not_herd() {
+    let entries: Vec<ServerEntry> = (0..1000).map(line).collect();
+    let mut sent = vec![0u32; 1000];
+    // A meter period of a calm fleet: 25 requests at each gateway, 5 for each server on average.
+    for ordinal in 0..200 {
+        let settings = Settings { gateways: 200, ordinal, ..settings() };
+        let mut door = Door::of(settings, u64::from(ordinal), entries.clone());
+        for number in 0..25 {
+            let now = 1000.0 + f64::from(number) * 20.0;
+            if let Some((request, server)) = door.ask(now) {
+                sent[server as usize] += 1;
+                door.end(now + 10.0, request, Outcome::Ok);
+            }
+        }
+    }
+    let (total, most) = (sent.iter().sum::<u32>(), *sent.iter().max().expect("there are servers"));
+    println!("{total} sent, {most} at most to one server");
+    assert!(total > 4000, "{total} of 5,000 were sent on");
+    // Counts drawn each by themselves (mean 5) reach 16 once in a hundred such periods.
+    assert!(most <= 18, "{most} of {total} at one of 1,000 servers");
+}
