--- a/crates/brassport-appliance/tests/dns.rs
+++ b/crates/brassport-appliance/tests/dns.rs
@@ -13,6 +13,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -31,12 +32,16 @@
     jobs: UnboundedSender<Job>,
 }
 
-/// An address whose port is free for UDP and TCP alike.
+/// An address whose port is free for UDP and TCP alike, and stays so until it is bound: no two calls give the same, and
+/// it lies below the ports that the system gives to whoever asks for any. One of those, let go, was another test's
+/// connection or listener before its own door came up.
 fn free() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-        let at = listener.local_addr().expect("an address");
-        if UdpSocket::bind(at).is_ok() {
+        // Another process of these tests begins elsewhere.
+        let number = std::process::id().wrapping_mul(97).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let at = SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + (number % 20_000) as u16));
+        if UdpSocket::bind(at).is_ok() && TcpListener::bind(at).is_ok() {
             return at;
         }
     }
