Keep each of many doors to a few servers: an arc of eight and one for each in hand

Cause: the arc was no smaller than the 24 draws; that bound belongs to the draws, not to the arc. Change: the arc holds no fewer than eight servers beside one for each attempt in hand. Red without it: 25 servers to a door, and 25 in hand at 9 servers.

--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -14,6 +14,9 @@
 /// Gateways that share each server of a greater fleet: own work in hand tells of a server's queue only where
 /// few others send to it. Hurts where one gateway's customers ask for far more than its neighbours'.
 const SHARED: f64 = 4.0;
+/// Least servers on an arc beside one for each attempt in hand: few enough that a gateway with few requests
+/// finds a connection of its own still open, and has heard of each server of late.
+const LEAST_ARC: f64 = 8.0;
 /// A server silent for so many mean answer times, with work of ours in hand, is taken to hang.
 pub const SILENCE: f64 = 4.0;
 /// Mean answer times after which what was learned of a server's pace has faded to a third.
@@ -209,7 +212,8 @@
         let mut best: [Option<(f64, ServerId)>; 2] = [None, None];
         let (warm, gateways) = (self.warm.row(), f64::from(wanted.settings.gateways));
         let middle = (f64::from(wanted.settings.ordinal) + 0.5) / gateways;
-        let arc = (SHARED / gateways).max(DRAWN as f64 / warm.len().max(1) as f64).min(1.0);
+        let least = (LEAST_ARC + self.in_hand()) / warm.len().max(1) as f64;
+        let arc = (SHARED / gateways).max(least).min(1.0);
         for arc in [arc, 1.0] {
             for _ in 0..if warm.len() <= ALL || best[0].is_some() { 0 } else { DRAWN } {
                 let part = (middle + arc * (rng.rand_float() - 0.5)).rem_euclid(1.0);
--- a/crates/springusher/tests/choice.rs
+++ b/crates/springusher/tests/choice.rs
@@ -144,6 +144,44 @@
     assert!(reached(4, 1, &entries).len() > 700, "one of four gateways is kept from a part of the fleet");
 }
 
+#[test]
+fn one_of_a_hundred_gateways_before_sixty_servers_keeps_to_a_few_and_all_serve_alike() {
+    let entries: Vec<ServerEntry> = (0..60).map(line).collect();
+    let mut shared: BTreeMap<ServerId, u32> = BTreeMap::new();
+    for ordinal in 0..100 {
+        let sent = reached(100, ordinal, &entries);
+        // Eight, one for what is in hand, and one cut at either end: with more, each would be met so rarely that
+        // its connection has been closed meanwhile, at a handshake for nearly every request of the fleet.
+        assert!((7..=11).contains(&sent.len()), "gateway {ordinal} sends to {} servers", sent.len());
+        sent.into_iter().for_each(|(server, count)| *shared.entry(server).or_default() += count);
+    }
+    let mean = f64::from(shared.values().sum::<u32>()) / 60.0;
+    let most = shared.values().copied().max().expect("some were sent");
+    assert_eq!(shared.len(), 60, "some servers have no gateway");
+    assert!(f64::from(most) < 1.5 * mean, "{most} at one, {mean} on average");
+}
+
+#[test]
+fn a_gateway_of_a_hundred_with_much_in_hand_sends_to_more_servers() {
+    let settings = Settings { gateways: 100, ordinal: 7, ..settings() };
+    let mut door = Door::of(settings, 3, (0..60).map(line).collect());
+    let mut out = Vec::new();
+    for number in 0..4000u64 {
+        let now = number as f64 * 20.0;
+        out.extend(door.ask(now).map(|(request, server)| (now, request, server)));
+        // Up to thirty stay in hand, for as long as answers are timely.
+        if number % 4 == 3 || out.len() > 30 {
+            let (_, request, _) = out.remove(0);
+            door.end(now + 1.0, request, Outcome::Ok);
+        }
+        if out.len() > 24 {
+            break;
+        }
+    }
+    let met: std::collections::BTreeSet<ServerId> = out.iter().map(|(_, _, server)| *server).collect();
+    assert!(met.len() >= 16, "{} attempts in hand at {} servers", out.len(), met.len());
+}
+
 #[test]
 fn a_gateway_whose_own_servers_all_fail_sends_to_the_others() {
     let settings = Settings { gateways: 50, ordinal: 3, max_attempts: 1, ..settings() };
