Keep many doors to their arcs also when few servers are left

Need: with a zone lost, or six in ten backends cold, 32 or fewer servers are warm, and each of 100 doors went back to weighing all of them: connections to all, hardly one of them open again at the next request. Cause: the bound up to which a fleet is weighed whole looked at the servers alone, not at how many doors do the same. Change: only up to four doors weigh a fleet of 32 whole; more of them keep to their arcs. Red without it: 30 servers of the thirty that are left.

--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -1,13 +1,14 @@
-//! Choice of the server: what is known of each, and which gets the next attempt. Of a small fleet all are
-//! weighed; of a greater one some that are drawn, the large more often, so that a choice costs the same for
-//! any number, from this gateway's arc of the ring. Arcs overlap: as many gateways share each server.
+//! Choice of the server: what is known of each, and which gets the next attempt. Of a small fleet few gateways
+//! weigh all; of a greater one, or before many gateways, some that are drawn, the large more often, so that a
+//! choice costs the same for any number, from this gateway's arc of the ring. Arcs overlap: as many gateways
+//! share each server.
 
 use crate::interface::*;
 use oorandom::Rand64;
 use springusher_counts::{Agenda, Factor, InFlight, Members, Own, Ticket};
 use std::collections::VecDeque;
 
-/// Most warm servers that are all weighed, and how many are drawn of more unless an idle one comes sooner:
+/// Most warm servers that are all weighed, by a few gateways, and how many are drawn of more unless an idle one comes sooner:
 /// while four in five are busy, all that are drawn are so once in two hundred choices.
 const ALL: usize = 32;
 const DRAWN: usize = 24;
@@ -214,8 +215,9 @@
         let middle = (f64::from(wanted.settings.ordinal) + 0.5) / gateways;
         let least = (LEAST_ARC + self.in_hand()) / warm.len().max(1) as f64;
         let arc = (SHARED / gateways).max(least).min(1.0);
+        let all = warm.len() <= ALL && gateways <= SHARED;
         for arc in [arc, 1.0] {
-            for _ in 0..if warm.len() <= ALL || best[0].is_some() { 0 } else { DRAWN } {
+            for _ in 0..if all || best[0].is_some() { 0 } else { DRAWN } {
                 let part = (middle + arc * (rng.rand_float() - 0.5)).rem_euclid(1.0);
                 let Some(id) = self.warm.draw(part) else { break };
                 if self.weigh(id, wanted, rng, &mut best) {
--- a/crates/springusher/tests/choice.rs
+++ b/crates/springusher/tests/choice.rs
@@ -159,6 +159,10 @@
     let most = shared.values().copied().max().expect("some were sent");
     assert_eq!(shared.len(), 60, "some servers have no gateway");
     assert!(f64::from(most) < 1.5 * mean, "{most} at one, {mean} on average");
+    // So they do with a zone lost, and three doors go on using all of as many.
+    let met = reached(100, 50, &entries[..30]).len();
+    assert!((7..=11).contains(&met), "{met} servers of the thirty that are left");
+    assert_eq!(reached(3, 1, &entries[..30]).len(), 30);
 }
 
 #[test]
