--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -1,15 +1,15 @@
-//! Choice of the server: what is known of each, and which gets the next attempt. Of a small fleet few gateways
-//! weigh all; of a greater one, or before many gateways, some that are drawn, the large more often, so that a
-//! choice costs the same for any number, from this gateway's arc of the ring. Arcs overlap: as many gateways
-//! share each server.
+//! Choice of the server: what is known of each, and which gets the next attempt. Of a small fleet a few
+//! gateways weigh all; of a greater one, or before many gateways, some that are drawn, the large more often, so
+//! that a choice costs the same for any number, from this gateway's arc of the ring. Arcs overlap: as many
+//! gateways share each server.
 
 use crate::interface::*;
 use oorandom::Rand64;
 use springusher_counts::{Agenda, Factor, InFlight, Members, Own, Ticket};
 use std::collections::VecDeque;
 
-/// Most warm servers that are all weighed, by a few gateways, and how many are drawn of more unless an idle one comes sooner:
-/// while four in five are busy, all that are drawn are so once in two hundred choices.
+/// Most warm servers that a few gateways all weigh, and how many are drawn of more unless an idle one comes
+/// sooner: while four in five are busy, all that are drawn are so once in two hundred choices.
 const ALL: usize = 32;
 const DRAWN: usize = 24;
 /// Gateways that share each server of a greater fleet: own work in hand tells of a server's queue only where
