--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -1,7 +1,7 @@
 //! Choice of the server: what is known of each, and which gets the next attempt. Of a small fleet a few
-//! gateways weigh all; of a greater one, or before many gateways, some that are drawn, the large more often, so
-//! that a choice costs the same for any number, from this gateway's arc of the ring. Arcs overlap: as many
-//! gateways share each server.
+//! gateways weigh all; of a greater one, or before many gateways, some that are drawn, the large more
+//! often, so that a choice costs the same for any number, from this gateway's arc of the ring. Arcs
+//! overlap: as many gateways share each server.
 
 use crate::interface::*;
 use oorandom::Rand64;
