Serve the operators' listener with figures and bans

Change: run/admin.rs, a thread that reads calls and asks the data path over a channel; run/metrics.rs, one guard a request; nodes/bans.rs laid over the list where the door holds it. Tests: 200 silent callers, figures against what backends saw, a ban against every word of discovery, one that comes while an attempt connects and before a retry.

--- a/crates/brassport-appliance/src/run.rs
+++ b/crates/brassport-appliance/src/run.rs
@@ -11,7 +11,7 @@
 use brassport::clock::SystemClock;
 use brassport::config::Origin;
 use brassport::network::Tcp;
-use brassport::{front_door_with, log, Control};
+use brassport::{front_door_with, log, Control, Surroundings};
 use brassport_membership::book::{self, Book, Entry, Report, Source, SourceNow};
 use brassport_state::files::Directory;
 use brassport_state::model::{Action, Lifecycle, Node, State};
@@ -207,7 +207,8 @@
                 }
             }
         });
-        front_door_with(config, SystemClock, Tcp, control, Some(looker.clone())).await
+        let surroundings = Surroundings { hooks: Some(looker.clone()), ..Surroundings::default() };
+        front_door_with(config, SystemClock, Tcp, control, surroundings).await
     });
     // The socket goes first: whoever finds none knows that there is nobody to ask.
     let _ = fs::remove_file(&socket);
--- a/crates/brassport-appliance/src/site.rs
+++ b/crates/brassport-appliance/src/site.rs
@@ -194,6 +194,7 @@
     /// The front door's configuration, with the list of nodes that it starts with.
     pub fn config(&self, seed: u64, sources: Vec<Origin>) -> Config {
         Config {
+            admin: None,
             listen: self.listen,
             discovery: None,
             sources,
--- a/crates/brassport/src/backends.rs
+++ b/crates/brassport/src/backends.rs
@@ -4,6 +4,7 @@
 use crate::connection::{Connection, Failure};
 use crate::mutants::mutant;
 use crate::network::Network;
+use crate::run::metrics::Figures;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -13,6 +14,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -71,6 +73,7 @@
     descriptors: Arc<Semaphore>,
     connect_timeout: Duration,
     keep_idle: Duration,
+    figures: Rc<Figures>,
 }
 
 impl<C: Clock, N: Network> Backends<C, N> {
@@ -80,6 +83,7 @@
         descriptors: Arc<Semaphore>,
         connect_timeout: Duration,
         idle_timeout: Duration,
+        figures: Rc<Figures>,
     ) -> Backends<C, N> {
         Backends {
             clock,
@@ -88,6 +92,7 @@
             descriptors,
             connect_timeout,
             keep_idle: idle_timeout.mul_f64(IDLE_PART),
+            figures,
         }
     }
 
@@ -206,7 +211,10 @@
             .exchange(message.to_send(expire_at.saturating_duration_since(self.clock.now())), BODY_LIMIT)
             .await
         {
-            Ok(answer) => answer,
+            Ok(answer) => {
+                self.figures.attempt_written();
+                answer
+            }
             Err(Failure::Unsent) => return Outcome::NoConnection.into(),
             Err(Failure::Broken) if mutant!(RetryAfterReset) => return Outcome::NoConnection.into(),
             Err(Failure::Broken) => return Outcome::Reset.into(),
--- a/crates/brassport/src/clients.rs
+++ b/crates/brassport/src/clients.rs
@@ -8,6 +8,8 @@
 use crate::door::{Answer, Door};
 use crate::mutants::mutant;
 use crate::network::{Listener, Network};
+use crate::run::metrics::Figures;
+use crate::run::metrics::{Ended, Life};
 use crate::shutdown::{Phase, Shutdown};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
@@ -77,6 +79,7 @@
     pub connections: Rc<Connections<C>>,
     /// Bytes that the bodies in flight may still take, all together.
     pub bodies: Semaphore,
+    pub figures: Rc<Figures>,
 }
 
 /// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
@@ -147,14 +150,18 @@
         client.stage(Stage::Open);
         let (context, client) = (context.clone(), client.clone());
         async move {
+            let mut life = life(&context, &request);
             let response = if crowded {
                 Err(refusal(context.settings.max_retry_after))
             } else {
-                answer(&context, request, client.asking_until()).await
+                answer(&context, request, client.asking_until(), &mut life).await
             };
             client.stage(if response.is_err() { Stage::Last } else { Stage::Idle });
             let last = response.is_err() || context.shutdown.phase() != Phase::Serving;
             let (Ok(mut response) | Err(mut response)) = response;
+            if let Some(life) = &mut life {
+                life.end(Ended::from(response.status()));
+            }
             if last {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
@@ -206,6 +213,7 @@
     context: &Context<C, N>,
     request: Request<Incoming>,
     asked_by: Instant,
+    life: &mut Option<Life>,
 ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
     let came = context.clock.now();
     // Guards against a request hidden in another's body: hyper takes out a Content-Length that stands beside
@@ -236,6 +244,9 @@
         Some(Err(_)) => return Err(text(StatusCode::BAD_REQUEST, "the body is broken")),
         None => return Err(text(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
     };
+    if let Some(life) = life {
+        life.taken();
+    }
     let patience = if mutant!(ForgetDeadline) { Duration::from_secs(3600) } else { asked.patience };
     let deadline = came + patience.saturating_sub(MARGIN);
     let message = Message { method: head.method, uri: asked.uri, headers: pass_on(head.headers), body };
@@ -255,6 +266,19 @@
     })
 }
 
+/// The request for the figures, if it is of a class.
+fn life<C: Clock, N: Network>(context: &Context<C, N>, request: &Request<Incoming>) -> Option<Life> {
+    let class = class_named(request.headers(), request.uri().path(), context.assumed.is_some())?;
+    let known = context.names.classes.iter().any(|known| known == class);
+    known.then(|| context.figures.request(class))
+}
+
+/// The class that a request names: by its header, or, where that may be missing, by the first part of its path.
+fn class_named<'a>(headers: &'a HeaderMap, path: &'a str, by_path: bool) -> Option<&'a str> {
+    let named = headers.get("x-class").and_then(|value| value.to_str().ok()).map(str::trim);
+    named.or_else(|| path.split('/').nth(1).filter(|_| by_path))
+}
+
 fn text(status: StatusCode, line: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(line.as_bytes())));
     *response.status_mut() = status;
@@ -313,7 +337,7 @@
     let id = id.ok_or("X-Request-Id is missing or no id")?;
     let index = |names: &[String], name| names.iter().position(|known| Some(known.as_str()) == name);
     let segment = head.uri.path().split('/').nth(1);
-    let class = field("x-class").or(segment.filter(|_| assumed.is_some()));
+    let class = class_named(&head.headers, head.uri.path(), assumed.is_some());
     let class = index(&context.names.classes, class).ok_or("X-Class names no class")?;
     if segment != Some(&context.names.classes[class]) {
         return Err("the path does not begin with the class");
--- a/crates/brassport/src/config.rs
+++ b/crates/brassport/src/config.rs
@@ -14,6 +14,8 @@
 /// All that a front door is told at its start.
 pub struct Config {
     pub listen: SocketAddr,
+    /// Where staff call, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// Where the platform's list of nodes is watched; the first source of nodes, if there is one.
     pub discovery: Option<SocketAddr>,
     /// Further sources of nodes.
@@ -66,6 +68,7 @@
 #[derive(Deserialize)]
 struct File {
     listen: Option<String>,
+    admin_addr: Option<String>,
     discovery: Option<String>,
     seed: String,
     limits: Limits,
@@ -204,12 +207,13 @@
     environment: impl Fn(&str) -> Option<String>,
 ) -> Result<Config, String> {
     let file: File = serde_json::from_str(text).map_err(|error| format!("configuration: {error}"))?;
-    let address = |name: &str, written: Option<String>| {
+    let given = |name: &str, written: Option<String>| {
         let said = environment(name);
         let text = if first == First::File { written.or(said) } else { said.or(written) };
-        let text = text.ok_or_else(|| format!("{name} is not set"))?;
-        text.parse::<SocketAddr>().map_err(|_| format!("{name}: '{text}' is no address with a port"))
+        let fault = |text| format!("{name}: '{text}' is no address with a port, as 127.0.0.1:8080");
+        text.map(|text| text.parse::<SocketAddr>().map_err(|_| fault(text))).transpose()
     };
+    let address = |name: &str, written| given(name, written)?.ok_or_else(|| format!("{name} is not set"));
     let seed = u64::from_str_radix(&file.seed, 16)
         .map_err(|_| format!("seed: '{}' is no number in hexadecimal", file.seed))?;
     let told = file.settings;
@@ -246,6 +250,7 @@
     };
     Ok(Config {
         listen: address("BALANCER_LISTEN", file.listen)?,
+        admin: given("BALANCER_ADMIN_ADDR", file.admin_addr)?,
         discovery: Some(address("BALANCER_DISCOVERY", file.discovery)?),
         sources: Vec::new(),
         seed,
--- a/crates/brassport/src/door.rs
+++ b/crates/brassport/src/door.rs
@@ -8,6 +8,9 @@
 use crate::log;
 use crate::mutants::mutant;
 use crate::network::Network;
+use crate::nodes::bans::Bans;
+use crate::run::admin::{Call, Reply};
+use crate::run::metrics::{Figures, ListFigures};
 use brassport_membership::book::{Entry, State};
 use hyper::body::Bytes;
 use hyper::Response;
@@ -76,8 +79,9 @@
     names: BTreeSet<String>,
     last: RequestId,
     alarms: BinaryHeap<Reverse<(Instant, u64)>>,
-    /// Names of the backends by the number that stands for each.
-    uids: BTreeMap<ServerId, String>,
+    /// What the list says of each backend that is not gone, by the number that stands for it.
+    listed: BTreeMap<ServerId, Entry>,
+    bans: Bans,
     local_meter: Option<LocalMeter>,
     hooks: Option<Rc<dyn Hooks>>,
     unnamed: u64,
@@ -113,7 +117,8 @@
             names: BTreeSet::new(),
             last: 0,
             alarms: BinaryHeap::new(),
-            uids: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            bans: Bans::default(),
             local_meter: host.local_meter,
             hooks: host.hooks,
             unnamed: 0,
@@ -199,9 +204,9 @@
     /// Takes in the list of backends or a change to it, for itself and for the module.
     pub fn servers(self: &Rc<Self>, kind: ListKind, nodes: &[Entry]) {
         let mut entries = Vec::with_capacity(nodes.len());
-        for node in nodes {
-            let id = self.id(&node.id);
-            let entry = self.entry(id, node);
+        for told in nodes {
+            let (id, node) = self.note(told);
+            let entry = self.entry(id, &node);
             match node.address {
                 Some(at) if entry.lifecycle != Lifecycle::Gone => {
                     self.backends.put(id, at, entry.lifecycle == Lifecycle::Ready);
@@ -211,17 +216,63 @@
             entries.push(entry);
         }
         if kind != ListKind::Delta {
-            let listed: BTreeSet<ServerId> = entries.iter().map(|entry| entry.id).collect();
-            self.backends.retain(|id| listed.contains(&id));
-            self.inner.borrow_mut().uids.retain(|id, _| listed.contains(id));
+            let named: BTreeSet<ServerId> = entries.iter().map(|entry| entry.id).collect();
+            self.backends.retain(|id| named.contains(&id));
+            self.inner.borrow_mut().listed.retain(|id, _| named.contains(id));
         }
-        // Guards the memory: names of the gone would pile up, as each new backend has a new one.
+        // Guards the memory: the gone would pile up, as each new backend has a new name.
         for entry in entries.iter().filter(|entry| entry.lifecycle == Lifecycle::Gone) {
-            self.inner.borrow_mut().uids.remove(&entry.id);
+            self.inner.borrow_mut().listed.remove(&entry.id);
         }
         self.handle(Event::Servers { kind, entries });
     }
 
+    /// Notes what the list says of a backend. Returns its number and what holds with the bans laid over that.
+    fn note(&self, told: &Entry) -> (ServerId, Entry) {
+        let inner = &mut *self.inner.borrow_mut();
+        let id = number(&inner.listed, &told.id);
+        inner.listed.insert(id, told.clone());
+        inner.bans.hear(&told.id);
+        (id, inner.bans.laid_over(told))
+    }
+
+    /// Carries out what staff ask; it is in force when this returns.
+    pub fn operate(self: &Rc<Self>, call: Call, figures: &Figures) -> Reply {
+        let (node, banned) = match call {
+            Call::Metrics => return Reply::Figures(figures.text(self.list_figures())),
+            Call::Disable(node) => (node, true),
+            Call::Enable(node) => (node, false),
+        };
+        let told = {
+            let inner = &mut *self.inner.borrow_mut();
+            let told = inner.listed.values().find(|entry| *entry.id == *node).cloned();
+            let done = if banned {
+                inner.bans.disable(&node, told.as_ref().map(|told| told.boot_ms))
+            } else {
+                inner.bans.enable(&node, self.clock.clock.unix().as_secs_f64() * 1000.0)
+            };
+            if done.is_err() {
+                return Reply::UnknownNode;
+            }
+            told
+        };
+        log::line(format!("backend {node} {} by staff", if banned { "taken out" } else { "put back" }));
+        if let Some(told) = told {
+            self.servers(ListKind::Delta, &[told]);
+        }
+        Reply::Done
+    }
+
+    fn list_figures(&self) -> ListFigures {
+        let inner = self.inner.borrow();
+        let now = self.clock.now();
+        let avoided = |(id, told): &(&ServerId, &Entry)| {
+            let holds = inner.bans.laid_over(told);
+            holds.state != State::Ready || holds.address.is_none() || inner.gateway.avoids(**id, now)
+        };
+        ListFigures { members: inner.listed.len(), unavailable: inner.listed.iter().filter(avoided).count() }
+    }
+
     fn entry(&self, id: ServerId, node: &Entry) -> ServerEntry {
         let zone = self.zones.iter().position(|zone| *zone == node.zone);
         ServerEntry {
@@ -238,23 +289,6 @@
         }
     }
 
-    /// The number that stands for a backend: the one its name holds, so that every front door finds the
-    /// same. Another name is hashed, and moves on if its number stands for a different one.
-    fn id(&self, uid: &str) -> ServerId {
-        let digits = uid.strip_prefix("s-").filter(|digits| digits.len() == 8);
-        let hash = || {
-            let mix = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-            uid.bytes().fold(0x811c_9dc5, mix)
-        };
-        let mut id = digits.and_then(|digits| u32::from_str_radix(digits, 16).ok()).unwrap_or_else(hash);
-        let uids = &mut self.inner.borrow_mut().uids;
-        while uids.get(&id).is_some_and(|other| other != uid) {
-            id = id.wrapping_add(1);
-        }
-        uids.entry(id).or_insert_with(|| uid.to_string());
-        id
-    }
-
     /// Wakes the module when its timers are due.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
@@ -343,7 +377,7 @@
             match &inner.hooks {
                 None => (None, None),
                 Some(hooks) => {
-                    let node = inner.uids.get(&server).cloned().unwrap_or_default();
+                    let node = inner.listed.get(&server).map(|node| node.id.to_string()).unwrap_or_default();
                     let wait = hooks.before_attempt(request, &node);
                     (Some(node), wait)
                 }
@@ -396,6 +430,21 @@
     }
 }
 
+/// The number that stands for a backend: the one its name holds, so that every front door finds the
+/// same. Another name is hashed, and moves on if its number stands for a different one.
+fn number(listed: &BTreeMap<ServerId, Entry>, uid: &str) -> ServerId {
+    let digits = uid.strip_prefix("s-").filter(|digits| digits.len() == 8);
+    let hash = || {
+        let mix = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+        uid.bytes().fold(0x811c_9dc5, mix)
+    };
+    let mut id = digits.and_then(|digits| u32::from_str_radix(digits, 16).ok()).unwrap_or_else(hash);
+    while listed.get(&id).is_some_and(|other| *other.id != *uid) {
+        id = id.wrapping_add(1);
+    }
+    id
+}
+
 impl Inner {
     /// Passes the final answer on, unless there was one before.
     fn answer(&mut self, request: RequestId, answer: Answer) {
--- a/crates/brassport/src/lib.rs
+++ b/crates/brassport/src/lib.rs
@@ -38,8 +38,10 @@
 mod members;
 pub mod mutants;
 pub mod network;
+mod nodes;
 mod program;
 mod revisions;
+pub mod run;
 mod shutdown;
 
-pub use program::{front_door, front_door_with, Control, Inspection, Look};
+pub use program::{front_door, front_door_with, Control, Inspection, Look, Surroundings};
--- a/crates/brassport/src/main.rs
+++ b/crates/brassport/src/main.rs
@@ -4,7 +4,8 @@
 use brassport::clock::SystemClock;
 use brassport::config::{self, Config, First};
 use brassport::network::Tcp;
-use brassport::{front_door, log, Control};
+use brassport::run::admin;
+use brassport::{front_door_with, log, Control, Surroundings};
 use std::env;
 use std::ffi::OsString;
 use std::os::unix::process::CommandExt;
@@ -76,6 +77,8 @@
 }
 
 fn run(config: Config) -> Result<(), String> {
+    // Before anything else: a start that cannot serve its operators is none.
+    let operators = config.admin.map(admin::listen).transpose()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -96,6 +99,7 @@
                 }
             }
         });
-        front_door(config, SystemClock, Tcp, control).await
+        let surroundings = Surroundings { operators, ..Surroundings::default() };
+        front_door_with(config, SystemClock, Tcp, control, surroundings).await
     })
 }
--- a/crates/brassport/src/program.rs
+++ b/crates/brassport/src/program.rs
@@ -15,11 +15,14 @@
 use crate::members::{Members, Place};
 use crate::mutants::mutant;
 use crate::network::Network;
+use crate::run::admin::{self, Command, Operators};
+use crate::run::metrics::Figures;
 use crate::shutdown::{Phase, Shutdown};
 use brassport_membership::book::{Book, Moment, Report, Source};
 use springusher::ListKind;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch, Semaphore};
@@ -61,6 +64,52 @@
     Now,
 }
 
+/// What a host brings beside clock and network.
+#[derive(Default)]
+pub struct Surroundings {
+    /// Looks on at each request.
+    pub hooks: Option<Rc<dyn Hooks>>,
+    /// The operators' listener.
+    pub operators: Option<Operators>,
+}
+
+/// What comes in from outside the data path.
+enum Told {
+    Control(Control),
+    Command(Command),
+}
+
+struct Inbox {
+    control: mpsc::UnboundedReceiver<Control>,
+    operators: Option<Operators>,
+}
+
+impl Inbox {
+    /// The next that is told; `None` once the host tells no more.
+    async fn next(&mut self) -> Option<Told> {
+        let operators = &mut self.operators;
+        let command = async {
+            if let Some(Operators { commands, .. }) = operators {
+                if let Some(command) = commands.recv().await {
+                    return command;
+                }
+            }
+            std::future::pending().await
+        };
+        tokio::select! {
+            biased;
+            control = self.control.recv() => control.map(Told::Control),
+            command = command => Some(Told::Command(command)),
+        }
+    }
+
+    fn ready(&self, is_ready: bool) {
+        if let Some(Operators { ready, .. }) = &self.operators {
+            ready.store(is_ready, Ordering::Relaxed);
+        }
+    }
+}
+
 /// What a front door holds at a moment.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Inspection {
@@ -89,10 +138,10 @@
     network: N,
     control: mpsc::UnboundedReceiver<Control>,
 ) -> Result<(), String> {
-    front_door_with(config, clock, network, control, None).await
+    front_door_with(config, clock, network, control, Surroundings::default()).await
 }
 
-/// As [`front_door`], with a host that looks on at each request.
+/// As [`front_door`], with more that the host brings.
 ///
 /// # Errors
 /// As [`front_door`].
@@ -100,10 +149,13 @@
     config: Config,
     clock: C,
     network: N,
-    mut control: mpsc::UnboundedReceiver<Control>,
-    hooks: Option<Rc<dyn Hooks>>,
+    control: mpsc::UnboundedReceiver<Control>,
+    surroundings: Surroundings,
 ) -> Result<(), String> {
-    let spare = config.sockets.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
+    let Surroundings { hooks, operators } = surroundings;
+    let own = OWN_DESCRIPTORS + if operators.is_some() { admin::DESCRIPTORS } else { 0 };
+    let mut inbox = Inbox { control, operators };
+    let spare = config.sockets.checked_sub(own).filter(|spare| *spare > 0);
     let spare = spare.ok_or_else(|| format!("limits.sockets: {} are too few", config.sockets))?;
     let spare = spare.min(Semaphore::MAX_PERMITS);
     let spare = if mutant!(IgnoreDescriptorLimit) { 10 * spare } else { spare };
@@ -117,12 +169,15 @@
     let longest = config.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
 
+    let figures = Rc::new(Figures::default());
+    config.names.classes.iter().for_each(|class| figures.name_class(class));
     let backends = Rc::new(Backends::new(
         clock.clone(),
         network.clone(),
         descriptors.clone(),
         config.connect_timeout,
         config.idle_timeout,
+        figures.clone(),
     ));
     let host = Host {
         zones: config.names.zones.clone(),
@@ -172,12 +227,22 @@
         date: DateHeader::default(),
         connections: Rc::new(Connections::new(clock.clone())),
         bodies: Semaphore::new(most_bodies),
+        figures: figures.clone(),
     });
     let mut serving = spawn_local(clients::serve(listener, context.clone(), descriptors.clone()));
+    inbox.ready(true);
 
     // Takes in what is told; whether that is to end, and how.
-    let take = |told: Control| {
-        match told {
+    let take = |told: Told| {
+        let control = match told {
+            Told::Control(control) => control,
+            Told::Command(Command { call, reply }) => {
+                // Who asked may have given up.
+                let _ = reply.send(door.operate(call, &figures));
+                return None;
+            }
+        };
+        match control {
             Control::Terminate => return Some(End::InOrder),
             Control::Hurry => return Some(End::Now),
             Control::Inspect(say) => say(Inspection {
@@ -192,27 +257,32 @@
             Control::Book(look) => look(&members.book(), members.now()),
             Control::Reload(config) => match *config {
                 Ok(config) => {
+                    figures.reloaded(true);
                     if let (Some(discovery), Some(address)) = (&discovery, config.discovery) {
                         discovery.send_replace(address);
                     }
                 }
                 // Guards against half a file: what is in force stays so.
-                Err(problem) => log::line(format!("not reloaded: {problem}")),
+                Err(problem) => {
+                    figures.reloaded(false);
+                    log::line(format!("not reloaded: {problem}"));
+                }
             },
         }
         None
     };
     let mut orderly = loop {
-        match control.recv().await.map(&take) {
+        match inbox.next().await.map(&take) {
             None | Some(Some(End::InOrder)) => break true,
             Some(Some(End::Now)) => break false,
             Some(None) => {}
         }
     };
+    inbox.ready(false);
     // What is told goes on counting to the end: nothing new goes to a node that begins to drain meanwhile.
     let mut hurried = pin!(async {
         loop {
-            match control.recv().await.map(&take) {
+            match inbox.next().await.map(&take) {
                 Some(Some(End::Now)) => return,
                 Some(_) => {}
                 None => std::future::pending().await,
--- /dev/null
+++ b/crates/brassport/src/run/mod.rs
@@ -0,0 +1,4 @@
+//! Running the program for its staff: the operators' listener and the figures.
+
+pub mod admin;
+pub mod metrics;
--- a/crates/brassport/tests/hooks.rs
+++ b/crates/brassport/tests/hooks.rs
@@ -2,9 +2,9 @@
 
 use brassport::clock::SystemClock;
 use brassport::config::{Assumed, Config, Names, Origin};
-use brassport::front_door_with;
 use brassport::hooks::{Hooks, Wait};
 use brassport::network::Tcp;
+use brassport::{front_door_with, Surroundings};
 use brassport_membership::book::{Entry, Report, Source};
 use springusher::{Class, Effect, Plan, RequestId, Settings};
 use std::net::SocketAddr;
@@ -36,6 +36,7 @@
     let (classes, plans) = (vec![class], vec![Plan::default()]);
     Config {
         listen,
+        admin: None,
         discovery: None,
         sources: vec![Origin { source: Source::authority("list"), begin: Some(node), feed: None }],
         seed: 1,
@@ -62,7 +63,13 @@
     let held = hooks.clone();
     let test = async {
         let (_controls, control) = mpsc::unbounded_channel();
-        spawn_local(front_door_with(config, SystemClock, Tcp, control, Some(hooks)));
+        spawn_local(front_door_with(
+            config,
+            SystemClock,
+            Tcp,
+            control,
+            Surroundings { hooks: Some(hooks), ..Surroundings::default() },
+        ));
         tokio::task::yield_now().await;
         let head = "POST /job HTTP/1.1\r\nHost: d\r\nX-Request-Id: j\r\nCookie: client=0000000000000007\r\n\
                     Content-Length: 0\r\n\r\n";
--- /dev/null
+++ b/crates/brassport/tests/in_service.rs
@@ -0,0 +1,276 @@
+//! The front door in service, over loopback: the operators' listener, the figures and the bans.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Stdio;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const FIRST: &str = "s-00000001";
+const SECOND: &str = "s-00000002";
+
+/// A front door with operators in front of these backends, and discovery that the test speaks for.
+fn in_service(backends: &[&Peer]) -> (Front, SocketAddr, Discovery) {
+    let targets: Vec<_> = backends
+        .iter()
+        .enumerate()
+        .map(|(n, peer)| target(&format!("s-0000000{}", n + 1), peer.address, "ready"))
+        .collect();
+    let discovery = Discovery::start(list(&targets));
+    let (config, admin) = with_operators(config(discovery.address, list(&targets)));
+    (Front::start(&config), admin, discovery)
+}
+
+#[test]
+fn operators_are_told_whether_it_is_ready_and_what_else_they_may_call() {
+    let backend = Peer::start();
+    let (_front, admin, _discovery) = in_service(&[&backend]);
+    assert_eq!(operate(admin, "GET", "/-/ready"), (200, "ready\n".into()));
+    assert_eq!(operate(admin, "GET", "/-/nothing").0, 404);
+    assert_eq!(operate(admin, "GET", "/ready").0, 404);
+    assert_eq!(operate(admin, "PUT", "/-/backends//disable").0, 404);
+    assert_eq!(operate(admin, "POST", "/-/ready").0, 405);
+    assert_eq!(operate(admin, "GET", &format!("/-/backends/{FIRST}/disable")).0, 405);
+    assert_eq!(operate(admin, "PUT", "/-/backends/s-0000000f/disable").0, 404);
+    assert_eq!(operate(admin, "PUT", "/-/backends/s-0000000f/enable").0, 404);
+}
+
+#[test]
+fn it_is_not_ready_once_it_ends() {
+    let backend = Peer::start();
+    let (front, admin, _discovery) = in_service(&[&backend]);
+    let mut client = front.client();
+    client.send(&post("a job"));
+    let open = backend.next();
+    front.terminate();
+    let until = Instant::now() + PATIENCE;
+    while operate(admin, "GET", "/-/ready").0 != 503 {
+        assert!(Instant::now() < until, "it stays ready");
+    }
+    open.ok("done");
+    assert_eq!(client.read().status(), 200);
+}
+
+#[test]
+fn callers_who_say_nothing_keep_nobody_out() {
+    let backend = Peer::start();
+    let (front, admin, _discovery) = in_service(&[&backend]);
+    let mut silent: Vec<TcpStream> = Vec::new();
+    for n in 0..200 {
+        let mut stream = TcpStream::connect(admin).expect("a place in the backlog at least");
+        if n % 2 == 0 {
+            // One that has been sent away already takes nothing.
+            let _ = stream.write_all(b"GET /-/metrics HTTP/1.1\r\nHo");
+        }
+        silent.push(stream);
+    }
+    let asked = Instant::now();
+    assert_eq!(operate(admin, "GET", "/-/ready").0, 200);
+    assert_eq!(figure(admin, "balancer.members"), 1);
+    assert!(asked.elapsed() < Duration::from_secs(2), "two calls took {:?}", asked.elapsed());
+    let mut client = front.client();
+    client.send(&get(""));
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+    drop(silent);
+}
+
+#[test]
+fn a_call_that_is_no_http_is_told_so_and_a_long_one_is_cut() {
+    let backend = Peer::start();
+    let (_front, admin, _discovery) = in_service(&[&backend]);
+    for (call, status) in
+        [("no http\r\n\r\n".to_string(), "400"), (format!("GET /{} ", "x".repeat(20_000)), "4")]
+    {
+        let mut stream = TcpStream::connect(admin).expect("it accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        // It may be cut off before all is written.
+        let _ = stream.write_all(call.as_bytes());
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")) || answer.is_empty(), "{answer}");
+    }
+    assert_eq!(operate(admin, "GET", "/-/ready").0, 200);
+}
+
+#[test]
+fn an_address_that_is_taken_ends_the_start_and_says_which() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address").to_string();
+    for (value, says) in
+        [(address.as_str(), "cannot listen on"), ("here", "'here' is no address with a port")]
+    {
+        let mut config = config(closed_port(), list(&[]));
+        config["admin_addr"] = json!(value);
+        let file = write_config(&config);
+        let mut child = spawn(&file, &config, Stdio::piped());
+        let mut line = String::new();
+        BufReader::new(child.stderr.take().expect("a pipe")).read_line(&mut line).expect("a line");
+        assert!(!child.wait().expect("it ends").success());
+        assert!(
+            line.contains("BALANCER_ADMIN_ADDR") && line.contains(says) && line.contains(value),
+            "{line}"
+        );
+    }
+}
+
+#[test]
+fn figures_tell_what_clients_saw_and_what_reached_the_backends() {
+    let backends = [Peer::start(), Peer::start()];
+    let (front, admin, _discovery) = in_service(&[&backends[0], &backends[1]]);
+    let served = |name: &str| figure(admin, &format!("balancer.{name}"));
+    let mut client = front.client();
+    for _ in 0..3 {
+        client.send(&get(""));
+        next_of(&backends).0.ok("served");
+        assert_eq!(client.read().status(), 200);
+    }
+    // An error of an unsafe request fails.
+    client.send(&post("a job"));
+    next_of(&backends).0.answer("500 Internal Server Error", "", "");
+    assert_eq!(client.read().status(), 504);
+    client.send(&post("a job"));
+    let open = next_of(&backends).0;
+    wait_for_figure(admin, "balancer.pending", 1);
+    open.ok("done");
+    assert_eq!(client.read().status(), 200);
+    // Turned away by one and served by the other: two attempts of one request.
+    client.send(&get(""));
+    next_of(&backends).0.answer("503 Service Unavailable", "X-Not-Run: 1\r\n", "");
+    next_of(&backends).0.ok("served");
+    assert_eq!(client.read().status(), 200);
+    wait_for_figure(admin, "balancer.pending", 0);
+    assert_eq!((served("completed.preview-fetch"), served("completed.job-submit")), (4, 1));
+    assert_eq!((served("failed.preview-fetch"), served("failed.job-submit")), (0, 1));
+    assert_eq!((served("rejected.preview-fetch"), served("rejected.job-submit")), (0, 0));
+    assert_eq!(served("upstream_requests"), 7);
+    assert_eq!((served("members"), served("members_unavailable")), (2, 0));
+    assert_eq!((served("config_reloads"), served("config_reload_errors")), (0, 0));
+}
+
+#[test]
+fn a_request_whose_client_has_gone_is_not_pending_for_ever() {
+    let backend = Peer::start();
+    let (front, admin, _discovery) = in_service(&[&backend]);
+    let mut client = front.client();
+    client.send(&post("a job"));
+    let open = backend.next();
+    wait_for_figure(admin, "balancer.pending", 1);
+    drop(client);
+    wait_for_figure(admin, "balancer.pending", 0);
+    drop(open);
+}
+
+fn wait_for_refusal_of_all(front: &Front) {
+    let mut client = front.client();
+    client.send(&get(""));
+    assert_eq!(client.read().status(), 429, "nobody is left to serve it");
+}
+
+/// The only backend is back, and taken for cold: it has its turns, and what is beyond them is refused.
+fn served_in_its_turn(front: &Front, back: &Peer) {
+    let mut client = front.client();
+    let until = Instant::now() + Duration::from_secs(5);
+    loop {
+        assert!(Instant::now() < until, "it is not used again");
+        client.send(&get(""));
+        let status = thread::scope(|scope| {
+            let reader = scope.spawn(|| client.read().status());
+            while !reader.is_finished() {
+                if let Ok(exchange) = back.exchanges.recv_timeout(Duration::from_millis(2)) {
+                    exchange.ok("served");
+                }
+            }
+            reader.join().expect("an answer")
+        });
+        if status == 200 {
+            return;
+        }
+    }
+}
+
+#[test]
+fn a_backend_taken_out_gets_nothing_whatever_discovery_says() {
+    let (backend, moved) = (Peer::start(), Peer::start());
+    let (front, admin, discovery) = in_service(&[&backend]);
+    let mut client = front.client();
+    client.send(&get(""));
+    backend.next().ok("served");
+    assert_eq!(client.read().status(), 200);
+
+    let out = format!("/-/backends/{FIRST}/disable");
+    assert_eq!(operate(admin, "PUT", &out).0, 200);
+    assert_eq!(operate(admin, "PUT", &out).0, 200, "once more changes nothing");
+    assert_eq!(figure(admin, "balancer.members_unavailable"), 1);
+    // The last backend left, too.
+    wait_for_refusal_of_all(&front);
+    for said in [
+        json!([target(FIRST, backend.address, "ready")]),
+        json!([target(FIRST, backend.address, "gone")]),
+        json!([target(FIRST, moved.address, "ready")]),
+    ] {
+        discovery.tell(said);
+        wait_for_refusal_of_all(&front);
+    }
+    assert_eq!(operate(admin, "PUT", &format!("/-/backends/{FIRST}/enable")).0, 200);
+    served_in_its_turn(&front, &moved);
+    assert!(backend.exchanges.try_recv().is_err());
+}
+
+#[test]
+fn a_backend_that_has_left_the_list_can_be_taken_out_and_put_back() {
+    let backends = [Peer::start(), Peer::start()];
+    let (front, admin, discovery) = in_service(&[&backends[0], &backends[1]]);
+    discovery.tell(json!([target(FIRST, backends[0].address, "gone")]));
+    assert_eq!(operate(admin, "PUT", &format!("/-/backends/{FIRST}/disable")).0, 200);
+    assert_eq!(figure(admin, "balancer.members"), 1);
+    discovery.tell(json!([target(FIRST, backends[0].address, "ready")]));
+    discovery.tell(json!([target(SECOND, backends[1].address, "draining")]));
+    wait_for_refusal_of_all(&front);
+    assert_eq!(figure(admin, "balancer.members_unavailable"), 2);
+    assert_eq!(operate(admin, "PUT", &format!("/-/backends/{FIRST}/enable")).0, 200);
+    served_in_its_turn(&front, &backends[0]);
+}
+
+#[test]
+fn an_attempt_still_connecting_when_its_backend_is_taken_out_is_not_sent() {
+    let stuck = Stuck::start();
+    let known = list(&[target(FIRST, stuck.address, "ready")]);
+    let (mut config, admin) = with_operators(config(closed_port(), known));
+    config["settings"]["bounds"]["connectTimeout"] = json!(30_000.0);
+    let front = Front::start(&config);
+    let mut client = front.client();
+    client.send(&post("a job"));
+    stuck.wait_for_connect();
+    assert_eq!(operate(admin, "PUT", &format!("/-/backends/{FIRST}/disable")).0, 200);
+    let reader = thread::spawn(move || client.read().status());
+    assert_eq!(String::from_utf8_lossy(&stuck.open()), "");
+    assert_eq!(reader.join().expect("an answer"), 429);
+}
+
+#[test]
+fn a_retry_does_not_go_to_a_backend_taken_out_meanwhile() {
+    let backends = [Peer::start(), Peer::start()];
+    let (front, admin, _discovery) = in_service(&[&backends[0], &backends[1]]);
+    let mut client = front.client();
+    client.send(&get(""));
+    let (first, at) = next_of(&backends);
+    let other = [SECOND, FIRST][at];
+    assert_eq!(operate(admin, "PUT", &format!("/-/backends/{other}/disable")).0, 200);
+    first.answer("503 Service Unavailable", "X-Not-Run: 1\r\n", "");
+    let reader = thread::spawn(move || client.read().status());
+    // The retry may come back to the one that is left, and never to the other.
+    let left = &backends[at];
+    while !reader.is_finished() {
+        if let Ok(again) = left.exchanges.recv_timeout(Duration::from_millis(2)) {
+            again.answer("503 Service Unavailable", "X-Not-Run: 1\r\n", "");
+        }
+    }
+    assert_eq!(reader.join().expect("an answer"), 429);
+    assert!(backends[1 - at].exchanges.try_recv().is_err(), "the one taken out got the retry");
+}
--- a/crates/springusher-counts/src/lib.rs
+++ b/crates/springusher-counts/src/lib.rs
@@ -4,16 +4,18 @@
 //! were sent between two moments. Both take moments in milliseconds that do not run backwards. [`Agenda`] gives out
 //! what is due, the earliest first; [`Rounds`] goes round a map; [`Store`] fills and is taken from; [`Fading`] counts what is recent, [`Factor`] averages it;
 //! [`MeterClock`] learns which period of a meter a reading tells of; [`Members`] is a set on a ring from which one can be drawn;
-//! [`Returns`] counts how many come again;
+//! [`Returns`] counts how many come again; [`Mix`] knows the shares of kinds, and which go first;
 //! [`Tally`] says what staff should read of refusals.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod clock;
+mod mix;
 mod returns;
 mod tally;
 
 pub use clock::MeterClock;
+pub use mix::Mix;
 pub use returns::{chance_of, let_in, Returns};
 pub use tally::Tally;
 
--- a/crates/springusher/src/admission.rs
+++ b/crates/springusher/src/admission.rs
@@ -81,19 +81,6 @@
     now: Millis,
 }
 
-/// The chance of one kind when a share of the whole is admitted, the kinds in `order` first.
-pub fn ordered_chance(share: f64, mix: &[f64], order: &[usize], kind: usize) -> f64 {
-    let total: f64 = mix.iter().sum();
-    let mut left = share * total;
-    for &other in order {
-        if other == kind {
-            return if mix[kind] > 0.0 { (left / mix[kind]).clamp(0.0, 1.0) } else { share };
-        }
-        left = (left - mix[other]).max(0.0);
-    }
-    share
-}
-
 impl Admission {
     pub fn new(settings: &Settings) -> Admission {
         let (period, usual) = (settings.meter_period, vec![(CALM_USE, CALM_USE); settings.plans.len()]);
--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -155,6 +155,11 @@
         self.cold.0 > self.warm.row().len() || self.servers.get(&id).is_none_or(is_warm)
     }
 
+    /// Whether a server is left out for its failures.
+    pub fn is_ejected(&self, id: ServerId, now: Millis) -> bool {
+        self.servers.get(&id).is_some_and(|server| server.is_ejected(now))
+    }
+
     /// Whether a server holds work of ours and has said nothing for long, or is not there any more.
     pub fn is_silent(&self, id: ServerId, now: Millis, mean: Millis) -> bool {
         self.servers.get(&id).is_none_or(|server| server.silence(now, mean) > SILENCE)
--- a/crates/springusher/src/control.rs
+++ b/crates/springusher/src/control.rs
@@ -1,13 +1,13 @@
 //! The gateway: its events, and what the other files decide put together, in the terms of `interface.rs`.
 
-use crate::admission::{ordered_chance, Account, Admission, CHANCE_FLOOR};
+use crate::admission::{Account, Admission, CHANCE_FLOOR};
 use crate::ceilings::Ceiling;
 use crate::choice::{Fleet, Wanted};
 use crate::interface::*;
 use crate::life::{Open, LATE, PATIENCE};
 use crate::room::Room;
 use oorandom::Rand64;
-use springusher_counts::{blend, take_out, Known, Own, Rounds, Tally};
+use springusher_counts::{blend, take_out, Known, Mix, Own, Rounds, Tally};
 use std::collections::VecDeque;
 
 // All constants of the decisions are dimensionless; times and rates come from the settings.
@@ -48,9 +48,8 @@
     pub(crate) tally: Tally,
     pub(crate) requests: Own<RequestId, Open>,
     pub(crate) fleet: Fleet,
-    /// Recent share of each class in the offered units, and the classes from the highest worth down.
-    class_mix: Vec<f64>,
-    class_order: Vec<usize>,
+    /// Recent share of each class in the offered requests.
+    mix: Mix,
     /// Mean time of an answer for each class.
     pub(crate) answer_time: Vec<f64>,
     room: Room,
@@ -67,8 +66,7 @@
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Result<Gateway, InvalidSetting> {
         settings.validate()?;
         let classes = settings.classes.len();
-        let mut class_order: Vec<usize> = (0..classes).collect();
-        class_order.sort_by(|&a, &b| settings.classes[b].worth.total_cmp(&settings.classes[a].worth));
+        let worths: Vec<f64> = settings.classes.iter().map(|class| class.worth).collect();
         Ok(Gateway {
             rng: Rand64::new(u128::from(seed)),
             born: now,
@@ -79,8 +77,7 @@
             tally: Tally::new(now),
             requests: Own::default(),
             fleet: Fleet::new(&settings.classes),
-            class_mix: vec![1.0 / classes.max(1) as f64; classes],
-            class_order,
+            mix: Mix::new(&worths),
             answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
             room: Room::new(now),
             first_wait: vec![0.0; classes],
@@ -107,6 +104,11 @@
         (self.room.limit, self.room.part)
     }
 
+    /// Whether a server that takes requests is left out at this moment, for its failures.
+    pub fn avoids(&self, server: ServerId, now: Millis) -> bool {
+        self.fleet.is_ejected(server, now)
+    }
+
     fn arrive(&mut self, request: Request, actions: &mut Vec<Action>) {
         let expires_in = if request.expires_in.is_finite() { request.expires_in.max(0.0) } else { 0.0 };
         if self.requests.contains_key(&request.id) {
@@ -122,19 +124,15 @@
         if let Some(open) = self.requests.get_mut(&request.id) {
             open.arrived -= waited;
         }
-        for (class, share) in self.class_mix.iter_mut().enumerate() {
-            blend(share, f64::from(u8::from(class == request.class)), SAMPLE / 2.0);
-        }
+        self.mix.came(request.class, SAMPLE / 2.0);
         let share = self.quota(&request);
         let (class, answer) = (self.settings.classes[request.class], self.answer_time[request.class]);
         let flight = self.fleet.young(request.class, self.now);
         let idle = self.room.idle(self.now, class.aim, self.fleet.in_hand());
         let is_idle = idle.is_some_and(|idle| self.rng.rand_float() < idle);
         let open = if is_idle { 1.0 } else { self.room.open(flight) };
-        let (mix, order) = (&self.class_mix, &self.class_order);
         // The floor shrinks with the room: of thousands of retries a second, a fixed part would feed a jam.
-        let chance =
-            |open: f64| ordered_chance(share * open, mix, order, request.class).max(CHANCE_FLOOR * open);
+        let chance = |open: f64| self.mix.part(share * open, request.class).max(CHANCE_FLOOR * open);
         let (quota, room, coin) = (chance(1.0), chance(open), self.rng.rand_float());
         // Guards against a further try past its aim that takes quota for the worth of a late answer. A long
         // answer time alone is no ground: with nothing sent none would shorten it again.
@@ -201,7 +199,7 @@
 
     /// Mean time of an answer over the classes, by their recent mix.
     pub(crate) fn mean_answer(&self) -> f64 {
-        self.answer_time.iter().zip(&self.class_mix).map(|(time, share)| time * share).sum()
+        self.mix.mean(&self.answer_time)
     }
 
     /// Picks the server with the least expected wait, as far as own work and answers tell.
