Take new settings at SIGHUP, whole or not at all

Change: run/terms.rs keeps each class and plan at its index; Event::Settings reaches the module, where open requests carry their class and the lesser number of attempts; files are checked for every key, range and name.

--- a/crates/brassport-lab/src/emulator/baseline.rs
+++ b/crates/brassport-lab/src/emulator/baseline.rs
@@ -122,6 +122,7 @@
             Event::Request(request) => self.arrive(now, request, actions),
             Event::AttemptEnd(end) => self.ended(end, actions),
             Event::Started(id) | Event::ClientGone(id) => self.close(id),
+            Event::Settings(settings) => self.settings = *settings,
             Event::Timer(id) => {
                 if let Some(open) = self.open.get(&id).filter(|open| !open.done) {
                     actions.push(if open.may_have_run {
--- a/crates/brassport/src/backends.rs
+++ b/crates/brassport/src/backends.rs
@@ -71,8 +71,8 @@
     network: N,
     known: RefCell<BTreeMap<ServerId, Backend<N::Stream>>>,
     descriptors: Arc<Semaphore>,
-    connect_timeout: Duration,
-    keep_idle: Duration,
+    connect_timeout: Cell<Duration>,
+    keep_idle: Cell<Duration>,
     figures: Rc<Figures>,
 }
 
@@ -90,12 +90,18 @@
             network,
             known: RefCell::default(),
             descriptors,
-            connect_timeout,
-            keep_idle: idle_timeout.mul_f64(IDLE_PART),
+            connect_timeout: Cell::new(connect_timeout),
+            keep_idle: Cell::new(idle_timeout.mul_f64(IDLE_PART)),
             figures,
         }
     }
 
+    /// Other times hold from now on, for what begins from now on.
+    pub fn settle(&self, connect_timeout: Duration, idle_timeout: Duration) {
+        self.connect_timeout.set(connect_timeout);
+        self.keep_idle.set(idle_timeout.mul_f64(IDLE_PART));
+    }
+
     /// Notes where a backend is and whether it takes new requests.
     pub fn put(&self, id: ServerId, address: SocketAddr, ready: bool) {
         let mut known = self.known.borrow_mut();
@@ -135,7 +141,7 @@
             let parked: Vec<_> = self.known.borrow_mut().iter_mut().map(take).collect();
             for (id, address, idle) in parked {
                 for mut pooled in idle {
-                    if self.age(&pooled) < self.keep_idle && pooled.connection.is_usable().await {
+                    if self.age(&pooled) < self.keep_idle.get() && pooled.connection.is_usable().await {
                         self.park(id, address, pooled);
                     }
                 }
@@ -197,7 +203,7 @@
             },
         };
         // Guards against a standstill of the program in which a drain was told: what came meanwhile is taken in first.
-        if self.clock.now().saturating_duration_since(begun) > self.connect_timeout {
+        if self.clock.now().saturating_duration_since(begun) > self.connect_timeout.get() {
             tokio::task::yield_now().await;
         }
         // Guards against sending to a backend that began to drain, went or moved while the connection came
@@ -238,7 +244,7 @@
     async fn idle(&self, id: ServerId) -> Option<Pooled<N::Stream>> {
         loop {
             let mut pooled = self.known.borrow_mut().get_mut(&id)?.idle.pop()?;
-            if self.age(&pooled) < self.keep_idle && pooled.connection.is_usable().await {
+            if self.age(&pooled) < self.keep_idle.get() && pooled.connection.is_usable().await {
                 return Some(pooled);
             }
         }
@@ -254,7 +260,7 @@
         };
         // Guards against a machine that is cut off: its connections never come up.
         let open = async { Connection::over(self.network.connect(address).await?).await };
-        let opened = self.clock.timeout(self.connect_timeout, open).await.and_then(Result::ok);
+        let opened = self.clock.timeout(self.connect_timeout.get(), open).await.and_then(Result::ok);
         if mutant!(LeakDescriptor) && opened.is_none() {
             std::mem::forget(descriptor);
             return None;
--- a/crates/brassport/src/clients.rs
+++ b/crates/brassport/src/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::backends::{Backends, Message, BODY_LIMIT};
 use crate::clock::Clock;
-use crate::config::{Assumed, Names};
+use crate::config::Assumed;
 use crate::connections::{ClientConnection, Connections, Stage, Wire};
 use crate::date::DateHeader;
 use crate::door::{Answer, Door};
@@ -10,6 +10,7 @@
 use crate::network::{Listener, Network};
 use crate::run::metrics::Figures;
 use crate::run::metrics::{Ended, Life};
+use crate::run::terms::Terms;
 use crate::shutdown::{Phase, Shutdown};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
@@ -20,6 +21,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use springusher::{Effect, Settings};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::io;
 use std::pin::pin;
@@ -70,9 +72,8 @@
     pub clock: C,
     pub door: Rc<Door<C, N>>,
     pub backends: Rc<Backends<C, N>>,
-    pub names: Names,
     pub assumed: Option<Assumed>,
-    pub settings: Settings,
+    pub terms: RefCell<Rc<Terms>>,
     pub shutdown: Rc<Shutdown>,
     pub date: DateHeader,
     /// All connections of clients.
@@ -82,6 +83,13 @@
     pub figures: Rc<Figures>,
 }
 
+impl<C: Clock, N: Network> Context<C, N> {
+    /// What is in force now; a request goes by what was when its head had come.
+    pub fn terms(&self) -> Rc<Terms> {
+        self.terms.borrow().clone()
+    }
+}
+
 /// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
 pub async fn serve<C: Clock, N: Network>(
     listener: N::Listener,
@@ -152,7 +160,7 @@
         async move {
             let mut life = life(&context, &request);
             let response = if crowded {
-                Err(refusal(context.settings.max_retry_after))
+                Err(refusal(context.terms().settings().max_retry_after))
             } else {
                 answer(&context, request, client.asking_until(), &mut life).await
             };
@@ -226,13 +234,15 @@
         return Ok(text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
     }
     let (head, body) = request.into_parts();
-    let asked = check(&head, context).map_err(|problem| text(StatusCode::BAD_REQUEST, problem))?;
+    let terms = context.terms();
+    let asked = check(&head, context, &terms).map_err(|problem| text(StatusCode::BAD_REQUEST, problem))?;
     // Guards against bodies that fill the memory: the length is known before the first byte.
     let length = body.size_hint().upper().and_then(|length| usize::try_from(length).ok());
     let length = length.filter(|length| *length <= BODY_LIMIT);
     let length = length.ok_or_else(|| text(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"))?;
     let room = context.bodies.try_acquire_many(length as u32);
-    let room = room.map_err(|_| refusal(context.settings.max_retry_after))?;
+    let most_wait = terms.settings().max_retry_after;
+    let room = room.map_err(|_| refusal(most_wait))?;
     let _room = if mutant!(LeakBody) {
         room.forget();
         None
@@ -247,6 +257,11 @@
     if let Some(life) = life {
         life.taken();
     }
+    // Guards against rules for its repeats that its client does not know: the class changed while the body came.
+    let effect = |terms: &Terms| terms.settings().classes[asked.request.class].effect;
+    if effect(&terms) != effect(&context.terms()) {
+        return Ok(refusal(most_wait));
+    }
     let patience = if mutant!(ForgetDeadline) { Duration::from_secs(3600) } else { asked.patience };
     let deadline = came + patience.saturating_sub(MARGIN);
     let message = Message { method: head.method, uri: asked.uri, headers: pass_on(head.headers), body };
@@ -269,8 +284,7 @@
 /// The request for the figures, if it is of a class.
 fn life<C: Clock, N: Network>(context: &Context<C, N>, request: &Request<Incoming>) -> Option<Life> {
     let class = class_named(request.headers(), request.uri().path(), context.assumed.is_some())?;
-    let known = context.names.classes.iter().any(|known| known == class);
-    known.then(|| context.figures.request(class))
+    context.terms().class(class).map(|_| context.figures.request(class))
 }
 
 /// The class that a request names: by its header, or, where that may be missing, by the first part of its path.
@@ -322,7 +336,11 @@
 }
 
 /// Guards against malformed input: what does not make sense goes no further.
-fn check<C: Clock, N: Network>(head: &Parts, context: &Context<C, N>) -> Result<Asked, &'static str> {
+fn check<C: Clock, N: Network>(
+    head: &Parts,
+    context: &Context<C, N>,
+    terms: &Terms,
+) -> Result<Asked, &'static str> {
     // Guards against headers that contradict each other: whoever reads on might go by the other one.
     if OURS.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
         return Err("a header stands there twice");
@@ -335,24 +353,24 @@
         id => id.and_then(named),
     };
     let id = id.ok_or("X-Request-Id is missing or no id")?;
-    let index = |names: &[String], name| names.iter().position(|known| Some(known.as_str()) == name);
     let segment = head.uri.path().split('/').nth(1);
     let class = class_named(&head.headers, head.uri.path(), assumed.is_some());
-    let class = index(&context.names.classes, class).ok_or("X-Class names no class")?;
-    if segment != Some(&context.names.classes[class]) {
+    if segment != class {
         return Err("the path does not begin with the class");
     }
+    let class = class.and_then(|name| terms.class(name)).ok_or("X-Class names no class")?;
+    let settings = terms.settings();
     // The method follows from the class: a request that may be sent again must be one that says so itself.
-    if (context.settings.classes[class].effect == Effect::Free) != (head.method == Method::GET) {
+    if (settings.classes[class].effect == Effect::Free) != (head.method == Method::GET) {
         return Err("the method is not the class's");
     }
     let customer = field("cookie").and_then(customer).ok_or("the cookie names no client")?;
     let plan = match (context.door.plan_of(customer), field("plan"), assumed) {
         (Some(plan), _, _) | (None, None, Some(Assumed { plan })) => Some(plan),
-        (None, name, _) => index(&context.names.plans, name),
+        (None, name, _) => name.and_then(|name| terms.plan(name)),
     };
     let plan = plan.ok_or("Plan names no plan")?;
-    let most = Duration::from_secs_f64(context.settings.classes[class].deadline / 1000.0);
+    let most = Duration::from_secs_f64(settings.classes[class].deadline / 1000.0);
     let patience = match field("x-deadline") {
         None if assumed.is_some() => Some(most),
         text => text.and_then(span),
@@ -360,7 +378,7 @@
     let patience = patience.ok_or("X-Deadline is no length of time")?.min(most);
     let quota = match field("quota-info") {
         None if assumed.is_some() => Some((1.0, 1)),
-        text => text.and_then(|text| quota(text, &context.settings)),
+        text => text.and_then(|text| quota(text, settings)),
     };
     let (units, spread) = quota.ok_or("Quota-Info makes no sense")?;
     let target = head.uri.path_and_query().ok_or("the request has no path")?;
--- a/crates/brassport/src/config.rs
+++ b/crates/brassport/src/config.rs
@@ -59,6 +59,7 @@
 }
 
 /// Names that stand on the sockets, each at the index by which the module knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Names {
     pub classes: Vec<String>,
     pub plans: Vec<String>,
@@ -244,6 +245,8 @@
         list_on_request: told.registry_mode == RegistryMode::OnRequest,
     };
     settings.validate().map_err(|error| error.to_string())?;
+    each_once("classes", &names.classes)?;
+    each_once("plans", &names.plans)?;
     let time = |name: &str, ms: f64| match Duration::try_from_secs_f64(ms / 1000.0) {
         Ok(time) if !time.is_zero() => Ok(time),
         _ => Err(format!("setting {name}: {ms} is no length of time")),
@@ -266,6 +269,19 @@
     })
 }
 
+/// Guards against a name that means two things, or none.
+fn each_once(what: &str, names: &[String]) -> Result<(), String> {
+    if names.is_empty() {
+        return Err(format!("settings.{what}: there must be one at least"));
+    }
+    for (place, name) in names.iter().enumerate() {
+        if name.is_empty() || names[..place].contains(name) {
+            return Err(format!("settings.{what}[{place}].name: '{name}' stands there twice, or is empty"));
+        }
+    }
+    Ok(())
+}
+
 fn class(told: &ToldClass) -> Class {
     let scope = match told.group {
         Group::All => Scope::All,
--- a/crates/brassport/src/door.rs
+++ b/crates/brassport/src/door.rs
@@ -96,7 +96,7 @@
 
 pub struct Door<C: Clock, N: Network> {
     clock: ModuleClock<C>,
-    zones: Vec<String>,
+    zones: RefCell<Vec<String>>,
     backends: Rc<Backends<C, N>>,
     inner: RefCell<Inner>,
     sooner: Notify,
@@ -125,7 +125,7 @@
         };
         Ok(Rc::new(Door {
             clock,
-            zones: host.zones,
+            zones: RefCell::new(host.zones),
             backends,
             inner: RefCell::new(inner),
             sooner: Notify::new(),
@@ -236,6 +236,17 @@
         (id, inner.bans.laid_over(told))
     }
 
+    /// Other settings hold from now on; a class or a plan keeps its index.
+    pub fn settle(self: &Rc<Self>, zones: Vec<String>, settings: Settings) {
+        self.zones.replace(zones);
+        let mut inner = self.inner.borrow_mut();
+        if let Some(meter) = &mut inner.local_meter {
+            meter.settle(settings.meter_period, settings.plans.iter().map(|plan| plan.rate).collect());
+        }
+        drop(inner);
+        self.handle(Event::Settings(Box::new(settings)));
+    }
+
     /// Carries out what staff ask; it is in force when this returns.
     pub fn operate(self: &Rc<Self>, call: Call, figures: &Figures) -> Reply {
         let (node, banned) = match call {
@@ -274,7 +285,7 @@
     }
 
     fn entry(&self, id: ServerId, node: &Entry) -> ServerEntry {
-        let zone = self.zones.iter().position(|zone| *zone == node.zone);
+        let zone = self.zones.borrow().iter().position(|zone| *zone == node.zone);
         ServerEntry {
             id,
             zone: zone.map_or(u16::MAX, |zone| zone as u16),
--- a/crates/brassport/src/local_meter.rs
+++ b/crates/brassport/src/local_meter.rs
@@ -28,6 +28,16 @@
         LocalMeter { period: period.max(1.0), rates, customers: BTreeMap::new(), swept: 0 }
     }
 
+    /// Goes on with other periods and quotas; a plan keeps its index.
+    pub fn settle(&mut self, period: Millis, rates: Vec<f64>) {
+        if period.max(1.0) != self.period {
+            // Its periods are counted in another measure from here on.
+            (self.period, self.swept) = (period.max(1.0), 0);
+            self.customers.clear();
+        }
+        self.rates = rates;
+    }
+
     fn index(&self, now: Millis) -> u64 {
         (now / self.period).max(0.0) as u64
     }
--- a/crates/brassport/src/program.rs
+++ b/crates/brassport/src/program.rs
@@ -17,9 +17,11 @@
 use crate::network::Network;
 use crate::run::admin::{self, Command, Operators};
 use crate::run::metrics::Figures;
+use crate::run::terms::Terms;
 use crate::shutdown::{Phase, Shutdown};
 use brassport_membership::book::{Book, Moment, Report, Source};
 use springusher::ListKind;
+use std::cell::RefCell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -127,6 +129,19 @@
     pub body_bytes: usize,
 }
 
+/// Takes the settings of a file that was read anew, all of them or none.
+fn reload<C: Clock, N: Network>(config: Config, context: &Context<C, N>) -> Result<Config, String> {
+    let terms = context.terms();
+    let next = terms.changed(&config.names, &config.settings)?;
+    if next != *terms {
+        next.class_names().for_each(|class| context.figures.name_class(class));
+        context.door.settle(config.names.zones.clone(), next.settings().clone());
+        context.terms.replace(Rc::new(next));
+    }
+    context.backends.settle(config.connect_timeout, config.idle_timeout);
+    Ok(config)
+}
+
 /// Runs a front door on this clock and network until it is told to end. Must be polled within a
 /// `tokio::task::LocalSet`; dropping that ends all of its tasks.
 ///
@@ -166,9 +181,6 @@
         .await
         .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
 
-    let longest = config.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-    let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
-
     let figures = Rc::new(Figures::default());
     config.names.classes.iter().for_each(|class| figures.name_class(class));
     let backends = Rc::new(Backends::new(
@@ -220,9 +232,8 @@
         clock: clock.clone(),
         door: door.clone(),
         backends,
-        names: config.names,
         assumed: config.assumed,
-        settings: config.settings,
+        terms: RefCell::new(Rc::new(Terms::new(config.names, config.settings))),
         shutdown: shutdown.clone(),
         date: DateHeader::default(),
         connections: Rc::new(Connections::new(clock.clone())),
@@ -255,12 +266,12 @@
             }),
             Control::Report(place, report) => members.take(first + place, report),
             Control::Book(look) => look(&members.book(), members.now()),
-            Control::Reload(config) => match *config {
+            Control::Reload(config) => match (*config).and_then(|config| reload(config, &context)) {
                 Ok(config) => {
-                    figures.reloaded(true);
                     if let (Some(discovery), Some(address)) = (&discovery, config.discovery) {
                         discovery.send_replace(address);
                     }
+                    figures.reloaded(true);
                 }
                 // Guards against half a file: what is in force stays so.
                 Err(problem) => {
@@ -299,6 +310,9 @@
     }
     shutdown.advance(Phase::Closing);
     if orderly {
+        let longest =
+            context.terms().settings().classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
         let ended = clock.timeout(closing.saturating_sub(LAST_WORDS), &mut serving);
         orderly = tokio::select! {
             biased;
--- a/crates/brassport/tests/in_service.rs
+++ b/crates/brassport/tests/in_service.rs
@@ -274,3 +274,103 @@
     assert_eq!(reader.join().expect("an answer"), 429);
     assert!(backends[1 - at].exchanges.try_recv().is_err(), "the one taken out got the retry");
 }
+
+/// The file as it is replaced under the running program, and a signal that says so.
+fn reload(front: &Front, text: &str) {
+    std::fs::write(&front.file, text).expect("the file is replaced");
+    front.signal("-HUP");
+}
+
+#[test]
+fn classes_appear_and_vanish_with_the_file_and_a_broken_one_changes_nothing() {
+    let backend = Peer::start();
+    let (mut config, admin) =
+        with_operators(config(closed_port(), list(&[target(FIRST, backend.address, "ready")])));
+    let front = Front::start(&config);
+    let mut client = front.client();
+    let whole = config.to_string();
+    client.send(&post("under way"));
+    let open = backend.next();
+
+    // job-submit goes, and one comes that must never run twice.
+    let first = config["settings"]["classes"][0].clone();
+    let mut fresh = config["settings"]["classes"][1].clone();
+    fresh["name"] = json!("proof");
+    config["settings"]["classes"] = json!([first, fresh]);
+    config["settings"]["bounds"]["maxAttempts"] = json!(1);
+    reload(&front, &config.to_string());
+    wait_for_figure(admin, "balancer.config_reloads", 1);
+    assert_eq!(figure(admin, "balancer.completed.proof"), 0);
+
+    // What was under way is served; who comes now under that name is told that there is no such class.
+    open.ok("done");
+    assert_eq!(client.read().status(), 200);
+    client.send(&post("too late"));
+    assert_eq!(client.read().status(), 400);
+    let mut client = front.client();
+    client.send(&post("a proof").replace("job-submit", "proof"));
+    backend.next().ok("proved");
+    assert_eq!(client.read().status(), 200);
+    assert_eq!(figure(admin, "balancer.completed.proof"), 1);
+    assert_eq!(figure(admin, "balancer.completed.job-submit"), 1, "what has vanished keeps its counts");
+
+    // One attempt is allowed now.
+    client.send(&get(""));
+    backend.next().answer("503 Service Unavailable", "X-Not-Run: 1\r\n", "");
+    assert_eq!(client.read().status(), 429);
+
+    for (errors, broken) in ["", &whole[..whole.len() / 2], "{}"].into_iter().enumerate() {
+        reload(&front, broken);
+        wait_for_figure(admin, "balancer.config_reload_errors", errors as u64 + 1);
+    }
+    client.send(&post("a proof").replace("job-submit", "proof"));
+    let served = thread::scope(|scope| {
+        let reader = scope.spawn(|| client.read().status());
+        while !reader.is_finished() {
+            if let Ok(exchange) = backend.exchanges.recv_timeout(Duration::from_millis(2)) {
+                exchange.ok("proved");
+            }
+        }
+        reader.join().expect("an answer")
+    });
+    assert!(served == 200 || served == 429, "the class is still there, not {served}");
+
+    // And back again: it goes on with its counts.
+    reload(&front, &whole);
+    wait_for_figure(admin, "balancer.config_reloads", 2);
+    let mut client = front.client();
+    client.send(&post("a job"));
+    let until = Instant::now() + PATIENCE;
+    thread::scope(|scope| {
+        let reader = scope.spawn(|| client.read().status());
+        while !reader.is_finished() {
+            assert!(Instant::now() < until, "no answer");
+            if let Ok(exchange) = backend.exchanges.recv_timeout(Duration::from_millis(2)) {
+                exchange.ok("done");
+            }
+        }
+        assert_ne!(reader.join().expect("an answer"), 400, "the class is back");
+    });
+}
+
+#[test]
+fn ten_signals_with_an_unchanged_file_cost_no_request() {
+    let backend = Peer::start();
+    let (config, admin) =
+        with_operators(config(closed_port(), list(&[target(FIRST, backend.address, "ready")])));
+    let front = Front::start(&config);
+    let mut client = front.client();
+    for _ in 0..10 {
+        client.send(&post("a job"));
+        let open = backend.next();
+        front.signal("-HUP");
+        open.ok("done");
+        assert_eq!(client.read().status(), 200);
+    }
+    let until = Instant::now() + PATIENCE;
+    while figure(admin, "balancer.config_reloads") == 0 {
+        assert!(Instant::now() < until, "no file is taken");
+    }
+    assert_eq!(figure(admin, "balancer.config_reload_errors"), 0);
+    assert_eq!(figure(admin, "balancer.completed.job-submit"), 10);
+}
--- a/crates/springusher-counts/src/lib.rs
+++ b/crates/springusher-counts/src/lib.rs
@@ -4,18 +4,21 @@
 //! were sent between two moments. Both take moments in milliseconds that do not run backwards. [`Agenda`] gives out
 //! what is due, the earliest first; [`Rounds`] goes round a map; [`Store`] fills and is taken from; [`Fading`] counts what is recent, [`Factor`] averages it;
 //! [`MeterClock`] learns which period of a meter a reading tells of; [`Members`] is a set on a ring from which one can be drawn;
-//! [`Returns`] counts how many come again; [`Mix`] knows the shares of kinds, and which go first;
+//! [`Returns`] counts how many come again; [`Kinds`] knows the shares of kinds, their answers' times and which go
+//! first; [`Elsewhere`] fades what readings told of others, [`History`] knows what held when;
 //! [`Tally`] says what staff should read of refusals.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod clock;
-mod mix;
+mod elsewhere;
+mod kinds;
 mod returns;
 mod tally;
 
 pub use clock::MeterClock;
-pub use mix::Mix;
+pub use elsewhere::{Elsewhere, History};
+pub use kinds::Kinds;
 pub use returns::{chance_of, let_in, Returns};
 pub use tally::Tally;
 
@@ -202,6 +205,13 @@
         InFlight { begun: VecDeque::new(), number: 0, out: 0, spans }
     }
 
+    /// Asks for these spans from now on.
+    pub fn set_spans(&mut self, spans: impl IntoIterator<Item = Millis>) {
+        // What is too old for a span is taken off its count at its next question.
+        let span = |length| Span { length, count: self.out, first: self.number };
+        self.spans = spans.into_iter().map(span).collect();
+    }
+
     /// All that are out.
     pub fn len(&self) -> usize {
         self.out
@@ -507,6 +517,7 @@
         EndAgain(usize),
         Pass(u16),
         Ask(usize),
+        Spans(u16, u16),
     }
 
     fn steps() -> impl Strategy<Value = Vec<Step>> {
@@ -516,6 +527,7 @@
             1 => any::<usize>().prop_map(Step::EndAgain),
             2 => (0u16..400).prop_map(Step::Pass),
             2 => (0usize..2).prop_map(Step::Ask),
+            1 => (1u16..1500, 1u16..1500).prop_map(|(a, b)| Step::Spans(a, b)),
         ];
         prop::collection::vec(step, 0..200)
     }
@@ -523,7 +535,7 @@
     proptest! {
         #[test]
         fn ages_of_what_is_out_are_counted_as_a_plain_walk_counts_them(steps in steps()) {
-            let spans = [500.0, 1000.0];
+            let mut spans = [500.0, 1000.0];
             let mut counts = InFlight::new(spans);
             let mut plain: Vec<(Ticket, Millis)> = Vec::new();
             let mut ended = Vec::new();
@@ -541,6 +553,10 @@
                         let again = ended.get(which % ended.len().max(1)).copied();
                         again.into_iter().for_each(|ticket| counts.end(ticket));
                     }
+                    Step::Spans(first, second) => {
+                        spans = [f64::from(first), f64::from(second)];
+                        counts.set_spans(spans);
+                    }
                     Step::Pass(millis) => now += f64::from(millis),
                     Step::Ask(span) => {
                         let young = plain.iter().filter(|(_, at)| *at > now - spans[span]).count();
--- a/crates/springusher/src/admission.rs
+++ b/crates/springusher/src/admission.rs
@@ -5,8 +5,7 @@
 //! gateways is taken from the meter, and the class of the lowest worth goes first.
 
 use crate::interface::*;
-use springusher_counts::{blend, chance_of, let_in, Fading, MeterClock, Returns, Sends};
-use std::collections::VecDeque;
+use springusher_counts::{blend, chance_of, let_in, Elsewhere, Fading, History, MeterClock, Returns, Sends};
 
 /// Lowest chance of admission: at nought no answer would bring a reading, and the chance would stay there.
 pub const CHANCE_FLOOR: f64 = 0.01;
@@ -55,20 +54,15 @@
     told: Millis,
     chance: f64,
     chance_set: Millis,
-    chances: VecDeque<(Millis, f64)>,
+    chances: History,
     /// Own sends that readings may still tell of.
     sends: Sends,
     /// Units of own requests.
     heard: Fading,
-    /// Evidence of the other gateways, fading: seconds that readings covered, units sent and offered in them.
-    watched: f64,
-    sent_elsewhere: f64,
-    offered_elsewhere: f64,
-    reading_at: Option<Millis>,
+    /// Evidence of the other gateways; readings come at first as an even share of the quota would bring them.
+    others: Elsewhere,
     /// End of the last period that a reading told of.
     read: Millis,
-    /// Usual time between readings, seconds; at first what an even share of the quota would give.
-    reading_gap: f64,
 }
 
 /// A customer's plan, what its customers usually do, how likely one who is refused comes again, and the
@@ -87,6 +81,14 @@
         Admission { period, meter: MeterClock::new(period), usual, returns: Returns::default() }
     }
 
+    /// Goes on under other settings, of which there are no fewer plans.
+    pub fn settle(&mut self, settings: &Settings) {
+        self.usual.resize(settings.plans.len(), (CALM_USE, CALM_USE));
+        if self.period != settings.meter_period {
+            (self.period, self.meter) = (settings.meter_period, MeterClock::new(settings.meter_period));
+        }
+    }
+
     /// The coin: once per meter period its chance is set to what the quota and the estimated store allow over
     /// the offered rate. Takes a request of the customer.
     pub fn chance(&mut self, account: &mut Account, plan: &Plan, request: &Request, now: Millis) -> f64 {
@@ -133,18 +135,12 @@
         let seconds = (to - account.told).max(0.0) / 1000.0;
         account.store = (account.store + (1.0 - used) * plan.rate * seconds).clamp(0.0, plan.burst);
         account.told = account.told.max(to);
-        if let Some(at) = account.reading_at {
-            blend(&mut account.reading_gap, (now - at) / 1000.0, LEARN);
-        }
-        let fade = account.fade(terms);
-        account.reading_at = Some(now);
-        let held = account.chances.iter().rev().find(|(at, _)| *at <= to - period / 2.0);
-        let passed = let_in(held.or(account.chances.front()).map_or(1.0, |held| held.1), again);
+        let passed = let_in(account.chances.at(to - period / 2.0).unwrap_or(1.0), again);
         let elsewhere = units - account.sends.between(to - period, to);
-        let known = account.elsewhere(terms, fade).2;
-        account.watched = account.watched * fade + period / 1000.0;
-        account.sent_elsewhere = (account.sent_elsewhere * fade + elsewhere).max(0.0);
-        account.offered_elsewhere = (account.offered_elsewhere * fade + elsewhere / passed).max(0.0);
+        let reading = (period / 1000.0, elsewhere, elsewhere / passed);
+        let before = account.others.learn(now, (plan.rate, RATE_UNITS), reading, LEARN);
+        // The part of the estimate that rests on readings of this customer.
+        let known = before / (PRIOR_UNITS / plan.rate + before);
         // Own rate by own count: a reading comes here only for a period in which this gateway sent.
         let (weight, quota) = (SAMPLE * (1.0 - known), plan.rate * period / 1000.0);
         let own = account.heard.rate(RATE_UNITS / plan.rate) / plan.rate;
@@ -157,22 +153,18 @@
 impl Account {
     /// A customer that comes here first, to a gateway that has listened since it was `born`.
     pub fn new(plan: &Plan, spread: u32, born: Millis) -> Account {
-        let (spread, never) = (f64::from(spread.max(1)), f64::NEG_INFINITY);
+        let (spread, never) = (f64::from(spread.max(1)), f64::MIN);
         Account {
             spread,
             store: START_STORE * plan.burst,
             told: born,
             chance: 1.0,
             chance_set: never,
-            chances: VecDeque::new(),
+            chances: History::default(),
             sends: Sends::default(),
             heard: Fading::new(born),
-            watched: 0.0,
-            sent_elsewhere: 0.0,
-            offered_elsewhere: 0.0,
-            reading_at: None,
+            others: Elsewhere::new(spread / plan.rate.max(f64::MIN_POSITIVE)),
             read: never,
-            reading_gap: spread / plan.rate.max(f64::MIN_POSITIVE),
         }
     }
 
@@ -184,17 +176,15 @@
         }
     }
 
-    /// Rates at which the other gateways send and are offered, and the part of that which rests on readings
-    /// of this customer. What they do not tell is filled up with what its plan's customers usually do.
-    fn elsewhere(&self, Terms { plan, usual, .. }: Terms, fade: f64) -> (f64, f64, f64) {
+    /// Rates at which the other gateways send and are offered. What the readings of this customer do not
+    /// tell is filled up with what its plan's customers usually do.
+    fn elsewhere(&self, Terms { plan, usual, now, .. }: Terms) -> (f64, f64) {
         let prior = PRIOR_UNITS / plan.rate;
         // One of n gateways sees one part in n of the time that all see together.
         let own = self.heard.seconds / (self.spread - 1.0).max(f64::MIN_POSITIVE);
-        let seconds = prior + self.watched * fade;
-        let sent = (PRIOR_UNITS * usual.0 + self.sent_elsewhere * fade) / seconds;
-        let offers = PRIOR_UNITS * HEAVIER * usual.1 + self.offered_elsewhere * fade + self.heard.amount;
-        let offered = offers / (seconds + own);
-        (sent, offered, 1.0 - prior / seconds)
+        let (seconds, sent, offered) = self.others.still(now, plan.rate, RATE_UNITS);
+        let offers = PRIOR_UNITS * HEAVIER * usual.1 + offered + self.heard.amount;
+        ((PRIOR_UNITS * usual.0 + sent) / (prior + seconds), offers / (prior + seconds + own))
     }
 
     /// Units that other gateways have likely sent in a surge of which no reading tells yet: more, the more
@@ -204,16 +194,9 @@
         SURGE * delay * (self.spread - 1.0) * (self.sends.between(self.told, now) - even).max(0.0)
     }
 
-    /// How much of the readings still counts: they fade over some units of the quota, or some gaps between
-    /// readings if those are longer.
-    fn fade(&self, Terms { plan, now, .. }: Terms) -> f64 {
-        let memory = RATE_UNITS * (1.0 / plan.rate).max(self.reading_gap);
-        self.reading_at.map_or(0.0, |at| (-(now - at) / 1000.0 / memory).exp())
-    }
-
     /// Content of the store at a later time: the quota flows in, own sends and others' likely ones flow out.
     fn content(&self, terms: Terms, at: Millis) -> f64 {
-        let flow = terms.plan.rate - self.elsewhere(terms, self.fade(terms)).0;
+        let flow = terms.plan.rate - self.elsewhere(terms).0;
         (self.store + flow * (at - self.told) / 1000.0 - self.sends.between(self.told, at))
             .clamp(0.0, terms.plan.burst)
     }
@@ -231,20 +214,18 @@
         let keep = terms.now - reach;
         self.advance(terms, keep);
         self.sends.drop_before(keep);
-        while self.chances.len() > 1 && self.chances[1].0 < keep {
-            self.chances.pop_front();
-        }
+        self.chances.drop_before(keep);
     }
 
     fn set_chance(&mut self, terms: Terms, period: Millis) {
         let (plan, now) = (terms.plan, terms.now);
-        let offered = self.heard.rate(RATE_UNITS / plan.rate) + self.elsewhere(terms, self.fade(terms)).1;
+        let offered = self.heard.rate(RATE_UNITS / plan.rate) + self.elsewhere(terms).1;
         // The store is let out over some readings, so that the coin, by worth, refuses before it is empty.
         let span = RELEASE * period / 1000.0;
-        let allowed = plan.rate + self.content(terms, now) / span.max(self.reading_gap);
+        let allowed = plan.rate + self.content(terms, now) / span.max(self.others.gap());
         let part = if offered > allowed { allowed / offered } else { 1.0 };
         self.chance = chance_of(part, terms.again).max(CHANCE_FLOOR);
         self.chance_set = now;
-        self.chances.push_back((now, self.chance));
+        self.chances.set(now, self.chance);
     }
 }
--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -110,6 +110,14 @@
         Fleet { servers, warm, cold: (0, 0.0), warming, turns, passed: 0.0, in_flight }
     }
 
+    /// Goes on under other settings. Cold servers may be warm sooner or later than they were to be.
+    pub fn settle(&mut self, settings: &Settings) {
+        self.in_flight.set_spans(settings.classes.iter().map(|class| class.aim));
+        for (id, server) in &self.servers {
+            server.cold.iter().for_each(|cold| self.warming.push(cold.since + settings.cold_for, *id));
+        }
+    }
+
     /// Servers, those among them that only end their work.
     pub fn len(&self) -> usize {
         self.servers.len()
--- a/crates/springusher/src/control.rs
+++ b/crates/springusher/src/control.rs
@@ -7,7 +7,7 @@
 use crate::life::{Open, LATE, PATIENCE};
 use crate::room::Room;
 use oorandom::Rand64;
-use springusher_counts::{blend, take_out, Known, Mix, Own, Rounds, Tally};
+use springusher_counts::{take_out, Kinds, Known, Own, Rounds, Tally};
 use std::collections::VecDeque;
 
 // All constants of the decisions are dimensionless; times and rates come from the settings.
@@ -48,16 +48,17 @@
     pub(crate) tally: Tally,
     pub(crate) requests: Own<RequestId, Open>,
     pub(crate) fleet: Fleet,
-    /// Recent share of each class in the offered requests.
-    mix: Mix,
-    /// Mean time of an answer for each class.
-    pub(crate) answer_time: Vec<f64>,
+    /// Recent share of each class in the offered requests, and its answers' mean time.
+    pub(crate) kinds: Kinds,
     room: Room,
-    /// Longest time that first tries of each class are given.
-    first_wait: Vec<f64>,
     pub(crate) retry_budget: f64,
 }
 
+/// The worth of each class, and the time that an answer to it is taken to need before there was one.
+fn kinds(settings: &Settings) -> impl Iterator<Item = (f64, Millis)> + Clone + '_ {
+    settings.classes.iter().map(|class| (class.worth, class.aim / (2.0 * PATIENCE)))
+}
+
 impl Gateway {
     /// A gateway that starts at `now` with an empty server list.
     ///
@@ -65,8 +66,6 @@
     /// Names the first setting that makes no sense.
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Result<Gateway, InvalidSetting> {
         settings.validate()?;
-        let classes = settings.classes.len();
-        let worths: Vec<f64> = settings.classes.iter().map(|class| class.worth).collect();
         Ok(Gateway {
             rng: Rand64::new(u128::from(seed)),
             born: now,
@@ -77,10 +76,8 @@
             tally: Tally::new(now),
             requests: Own::default(),
             fleet: Fleet::new(&settings.classes),
-            mix: Mix::new(&worths),
-            answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
+            kinds: Kinds::new(kinds(&settings)),
             room: Room::new(now),
-            first_wait: vec![0.0; classes],
             retry_budget: 1.0,
             settings,
         })
@@ -96,7 +93,21 @@
             Event::Timer(token) if token % 4 == LIST => actions.push(Action::FollowServers),
             Event::Timer(token) => self.timer(token, actions),
             Event::Servers { kind, entries } => self.roster(kind, entries, actions),
+            Event::Settings(settings) => self.settle(*settings),
+        }
+    }
+
+    /// Goes on under other settings: what was learned of classes, plans, customers and servers stays.
+    fn settle(&mut self, settings: Settings) {
+        let counts = |settings: &Settings| (settings.classes.len(), settings.plans.len());
+        let ((classes, plans), (before, plans_before)) = (counts(&settings), counts(&self.settings));
+        if classes < before || plans < plans_before || settings.validate().is_err() {
+            return;
         }
+        self.kinds.set(kinds(&settings));
+        self.admission.settle(&settings);
+        self.fleet.settle(&settings);
+        self.settings = settings;
     }
 
     /// Most attempts that it would have out now, and the share of what the quotas admit that it has room for.
@@ -114,25 +125,24 @@
         if self.requests.contains_key(&request.id) {
             return;
         }
-        self.open(request, expires_in, actions);
         if !self.settings.know(&request) {
-            self.refuse(request.id, 0.0, actions);
-            return;
+            return actions.push(Action::Refuse { request: request.id, retry_after: 0.0 });
         }
+        self.open(request, expires_in, actions);
         self.sweep(actions);
         let waited = self.waited(&request, expires_in);
         if let Some(open) = self.requests.get_mut(&request.id) {
             open.arrived -= waited;
         }
-        self.mix.came(request.class, SAMPLE / 2.0);
+        self.kinds.came(request.class, SAMPLE / 2.0);
         let share = self.quota(&request);
-        let (class, answer) = (self.settings.classes[request.class], self.answer_time[request.class]);
+        let (class, answer) = (self.settings.classes[request.class], self.kinds.answer(request.class));
         let flight = self.fleet.young(request.class, self.now);
         let idle = self.room.idle(self.now, class.aim, self.fleet.in_hand());
         let is_idle = idle.is_some_and(|idle| self.rng.rand_float() < idle);
         let open = if is_idle { 1.0 } else { self.room.open(flight) };
         // The floor shrinks with the room: of thousands of retries a second, a fixed part would feed a jam.
-        let chance = |open: f64| self.mix.part(share * open, request.class).max(CHANCE_FLOOR * open);
+        let chance = |open: f64| self.kinds.part(share * open, request.class).max(CHANCE_FLOOR * open);
         let (quota, room, coin) = (chance(1.0), chance(open), self.rng.rand_float());
         // Guards against a further try past its aim that takes quota for the worth of a late answer. A long
         // answer time alone is no ground: with nothing sent none would shorten it again.
@@ -151,7 +161,7 @@
     /// How long a client has been trying before this try, where it shows: a further try with less time left
     /// than first tries get is bounded by what remains of the class's deadline.
     fn waited(&mut self, request: &Request, expires_in: Millis) -> Millis {
-        let most = &mut self.first_wait[request.class];
+        let most = self.kinds.first_wait(request.class);
         if !request.repeat {
             *most = most.max(expires_in);
         } else if expires_in < *most - self.settings.tick {
@@ -197,20 +207,15 @@
         actions.extend(self.tally.report(now, self.room.part).into_iter().map(Action::Log));
     }
 
-    /// Mean time of an answer over the classes, by their recent mix.
-    pub(crate) fn mean_answer(&self) -> f64 {
-        self.mix.mean(&self.answer_time)
-    }
-
     /// Picks the server with the least expected wait, as far as own work and answers tell.
     pub(crate) fn choose(&mut self, request: RequestId) -> Option<ServerId> {
-        let (settings, now, mean) = (&self.settings, self.now, self.mean_answer());
+        let (settings, now, mean) = (&self.settings, self.now, self.kinds.mean_answer());
         let open = &self.requests[&request];
         let wanted = Wanted {
             settings,
             now,
             mean,
-            effect: self.settings.classes[open.request.class].effect,
+            effect: open.class.effect,
             home: open.ran().map(|attempt| attempt.to),
             tried: &|id| open.attempts.iter().any(|attempt| attempt.to.id == id),
         };
@@ -219,7 +224,7 @@
 
     /// Learns from the end of an attempt.
     pub(crate) fn judge(&mut self, class: usize, id: ServerId, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let (mean, aim) = (self.answer_time[class].max(1.0), self.settings.classes[class].aim);
+        let (mean, aim) = (self.kinds.answer(class).max(1.0), self.settings.classes[class].aim);
         match end.outcome {
             _ if !self.fleet.is_telling(id) => {}
             Outcome::Ok => self.adapt(class, end.time() <= LATE * aim),
@@ -229,10 +234,10 @@
             }
             _ => {}
         }
-        let means = (self.mean_answer(), mean);
+        let means = (self.kinds.mean_answer(), mean);
         actions.extend(self.fleet.judge(self.now, id, end, means).map(Action::Log));
         if end.outcome == Outcome::Ok {
-            blend(&mut self.answer_time[class], end.time(), SAMPLE / 5.0);
+            self.kinds.answered(class, end.time(), SAMPLE / 5.0);
         }
     }
 
--- a/crates/springusher/src/interface.rs
+++ b/crates/springusher/src/interface.rs
@@ -168,6 +168,9 @@
 
 impl std::error::Error for InvalidSetting {}
 
+/// No time, rate or worth is greater, and sums of such numbers stay exact enough.
+const MOST_FIGURE: f64 = 1e12;
+
 impl Settings {
     /// Whether a request is of a class and a plan that there is, and for units that make sense.
     pub fn know(&self, request: &Request) -> bool {
@@ -218,8 +221,8 @@
             figures.push((format!("plans[{i}].ceiling_slack"), plan.ceiling_slack, false));
         }
         for (field, value, above_zero) in figures {
-            if !value.is_finite() || value < 0.0 {
-                return wrong(field, "must be a finite number, not below 0");
+            if !(0.0..=MOST_FIGURE).contains(&value) {
+                return wrong(field, "must be a finite number, not below 0, and 1e12 at the most");
             }
             if above_zero && value == 0.0 {
                 return wrong(field, "must be above 0");
@@ -386,6 +389,8 @@
     ClientGone(RequestId),
     /// A timer that this gateway set.
     Timer(u64),
+    /// Other settings hold from now on. A class or plan keeps its index; there may be more of them, and not fewer.
+    Settings(Box<Settings>),
 }
 
 /// What a gateway asks of its host.
--- a/crates/springusher/src/life.rs
+++ b/crates/springusher/src/life.rs
@@ -29,6 +29,9 @@
 #[derive(Debug)]
 pub struct Open {
     pub request: Request,
+    /// Its class as it was when it came, and most attempts that it may have.
+    pub class: Class,
+    most: u32,
     /// When the client's first try came, as far as it shows.
     pub arrived: Millis,
     pub attempts: Vec<Attempt>,
@@ -51,7 +54,9 @@
 impl Gateway {
     /// Takes up a request and sees to its deadline.
     pub(crate) fn open(&mut self, request: Request, expires_in: Millis, actions: &mut Vec<Action>) {
-        let open = Open { request, arrived: self.now, attempts: Vec::new(), held: false, done: false };
+        let (class, most) = (self.settings.classes[request.class], self.settings.max_attempts);
+        let (arrived, attempts) = (self.now, Vec::new());
+        let open = Open { request, class, most, arrived, attempts, held: false, done: false };
         self.requests.insert(request.id, open);
         // Answer before the client gives up; two calls of the host are the margin for the way back.
         let at = self.now + (expires_in - 2.0 * self.settings.tick).max(0.0);
@@ -69,9 +74,8 @@
 
     /// Sends a first attempt, or holds the request while its customer has all the attempts out it may have.
     pub(crate) fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let request = self.requests[&id].request;
+        let (request, aim) = (self.requests[&id].request, self.requests[&id].class.aim);
         let plan = self.settings.plans[request.plan];
-        let aim = self.settings.classes[request.class].aim;
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
         if plan.open > 0 && customer.open >= plan.open {
             customer.held.push_back(id);
@@ -103,57 +107,55 @@
             customer.open += 1;
         }
         actions.push(Action::Send { request: id, server: to.id, expire_at: None });
-        let class = open.request.class;
-        let patience = (PATIENCE * self.answer_time[class]).min(USEFUL * self.settings.classes[class].aim);
+        let patience = (PATIENCE * self.kinds.answer(open.request.class)).min(USEFUL * open.class.aim);
         actions.push(Action::Timer { at: self.now + patience, token: (id << 2) + REVIEW });
     }
 
     /// Whether a further attempt is allowed by the class, the settings and the retry budget, and of use.
     fn may_try_again(&self, open: &Open) -> bool {
-        let class = &self.settings.classes[open.request.class];
-        let licensed = match (class.effect, open.ran()) {
+        let licensed = match (open.class.effect, open.ran()) {
             (_, None) | (Effect::Free, _) => true,
             (Effect::Once, Some(_)) => false,
             (Effect::Keyed { window, .. }, Some(first)) => {
                 self.now < first.sent + window - 2.0 * self.settings.tick
             }
         };
-        licensed
-            && (self.settings.may_duplicate || !open.is_out())
-            && open.attempts.len() < self.settings.max_attempts as usize
-            && self.retry_budget >= 1.0
-            && self.now < open.arrived + class.aim
+        licensed && (self.settings.may_duplicate || !open.is_out()) && self.has_more(open)
+    }
+
+    /// Whether a further attempt of the request is of use and within its number and the retry budget.
+    fn has_more(&self, open: &Open) -> bool {
+        let most = open.most.min(self.settings.max_attempts) as usize;
+        open.attempts.len() < most && self.retry_budget >= 1.0 && self.now < open.arrived + open.class.aim
     }
 
     /// An attempt has been out for long, or a request held: tries another server, or gives up in time.
     fn review(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
-        let class = open.request.class;
-        let due = self.now - LATE * self.settings.classes[class].aim;
+        let (class, due) = (open.request.class, self.now - LATE * open.class.aim);
         let is_late = |last: &Attempt| last.out && last.sent <= due && self.fleet.is_telling(last.to.id);
         if open.attempts.last().is_some_and(is_late) {
             self.adapt(class, false);
         }
         let open = &self.requests[&id];
         if open.held {
-            if self.now >= open.arrived + USEFUL * self.settings.classes[open.request.class].aim {
+            if self.now >= open.arrived + USEFUL * open.class.aim {
                 self.refuse(id, self.settings.max_retry_after, actions);
             }
             return;
         }
-        let free = self.settings.classes[open.request.class].effect == Effect::Free;
+        let free = open.class.effect == Effect::Free;
         let Some(last) = open.attempts.last().filter(|last| last.out) else { return };
         if self.may_try_again(open) {
             self.further(id, actions);
         } else if free && !self.settings.may_duplicate && self.settings.may_cancel {
             // One copy at a time: the attempt is given up first, and its end brings the next one.
-            let silent = self.fleet.is_silent(last.to.id, self.now, self.mean_answer());
-            let useful = self.now < open.arrived + self.settings.classes[open.request.class].aim;
-            let more = open.attempts.len() < self.settings.max_attempts as usize && self.retry_budget >= 1.0;
-            if silent && useful && more {
+            let silent = self.fleet.is_silent(last.to.id, self.now, self.kinds.mean_answer());
+            let more = self.has_more(open);
+            if silent && more {
                 actions.push(Action::Cancel { request: id, attempt: (open.attempts.len() - 1) as u8 });
-            } else if useful && more {
-                let again = self.now + PATIENCE * self.mean_answer() / 2.0;
+            } else if more {
+                let again = self.now + PATIENCE * self.kinds.mean_answer() / 2.0;
                 actions.push(Action::Timer { at: again, token: (id << 2) + REVIEW });
             }
         }
--- a/crates/springusher/src/room.rs
+++ b/crates/springusher/src/room.rs
@@ -38,7 +38,7 @@
 
 impl Room {
     pub fn new(now: Millis) -> Room {
-        Room { part: START, at: now, idle: 0.0, full_at: f64::NEG_INFINITY, limit: 1.0, slow_start: true }
+        Room { part: START, at: now, idle: 0.0, full_at: f64::MIN, limit: 1.0, slow_start: true }
     }
 
     /// So many servers take requests.
--- /dev/null
+++ b/crates/springusher/tests/settings.rs
@@ -0,0 +1,128 @@
+//! Other settings while the gateway runs.
+
+mod common;
+
+use springusher::*;
+
+fn class(effect: Effect) -> Class {
+    Class { worth: 1.0, aim: 1000.0, deadline: 4000.0, late_share: 0.0, effect }
+}
+
+fn settings(effects: &[Effect], max_attempts: u32) -> Settings {
+    Settings {
+        classes: effects.iter().copied().map(class).collect(),
+        plans: vec![Plan { rate: 100.0, burst: 200.0, ..Plan::default() }],
+        max_attempts,
+        meter_period: 500.0,
+        ..Settings::default()
+    }
+}
+
+fn request(id: RequestId, class: usize) -> Request {
+    Request { id, customer: 7, plan: 0, class, units: 1.0, spread: 1, expires_in: 4000.0, repeat: false }
+}
+
+fn ready(id: ServerId) -> ServerEntry {
+    ServerEntry { id, zone: 0, cell: 0, share: 1.0, lifecycle: Lifecycle::Ready, launched: None }
+}
+
+fn gateway(settings: Settings) -> Gateway {
+    let mut gateway = Gateway::new(settings, 1, 0.0).expect("sound settings");
+    let entries = (0..4).map(ready).collect();
+    gateway.handle(0.0, Event::Servers { kind: ListKind::Full, entries }, &mut Vec::new());
+    gateway
+}
+
+fn handle(gateway: &mut Gateway, now: Millis, event: Event) -> Vec<Action> {
+    let mut actions = Vec::new();
+    gateway.handle(now, event, &mut actions);
+    actions.retain(|action| !matches!(action, Action::Timer { .. } | Action::Log(_)));
+    actions
+}
+
+fn end(request: RequestId, attempt: u8, outcome: Outcome) -> Event {
+    Event::AttemptEnd(AttemptEnd { request, attempt, outcome, elapsed: 5.0, finished: false, used: None })
+}
+
+fn is_sent(actions: &[Action]) -> bool {
+    matches!(actions, [Action::Send { .. }])
+}
+
+#[test]
+fn a_request_keeps_the_class_it_came_under() {
+    let mut gateway = gateway(settings(&[Effect::Free, Effect::Once], 4));
+    assert!(is_sent(&handle(&mut gateway, 1.0, Event::Request(request(1, 0)))));
+    assert!(is_sent(&handle(&mut gateway, 2.0, Event::Request(request(2, 1)))));
+    let swapped = settings(&[Effect::Once, Effect::Free], 4);
+    handle(&mut gateway, 3.0, Event::Settings(Box::new(swapped)));
+    assert!(
+        is_sent(&handle(&mut gateway, 4.0, end(1, 0, Outcome::Reset))),
+        "it was safe to repeat when it came"
+    );
+    assert_eq!(
+        handle(&mut gateway, 5.0, end(2, 0, Outcome::Reset)),
+        [Action::Fail(2)],
+        "it must never run twice"
+    );
+    assert!(is_sent(&handle(&mut gateway, 6.0, Event::Request(request(3, 0)))));
+    assert_eq!(
+        handle(&mut gateway, 7.0, end(3, 0, Outcome::Reset)),
+        [Action::Fail(3)],
+        "it came under the new ones"
+    );
+}
+
+#[test]
+fn fewer_attempts_hold_at_once_and_more_only_for_who_comes_then() {
+    let mut gateway = gateway(settings(&[Effect::Free], 3));
+    handle(&mut gateway, 1.0, Event::Request(request(1, 0)));
+    handle(&mut gateway, 2.0, Event::Settings(Box::new(settings(&[Effect::Free], 1))));
+    assert_eq!(handle(&mut gateway, 3.0, end(1, 0, Outcome::Reset)), [Action::Fail(1)]);
+    handle(&mut gateway, 4.0, Event::Request(request(2, 0)));
+    handle(&mut gateway, 5.0, Event::Settings(Box::new(settings(&[Effect::Free], 3))));
+    assert_eq!(handle(&mut gateway, 6.0, end(2, 0, Outcome::Reset)), [Action::Fail(2)]);
+}
+
+#[test]
+fn a_class_that_appears_is_served_and_settings_without_one_that_is_known_are_passed_over() {
+    let mut gateway = gateway(settings(&[Effect::Free], 3));
+    let refused = [Action::Refuse { request: 1, retry_after: 0.0 }];
+    assert_eq!(handle(&mut gateway, 1.0, Event::Request(request(1, 1))), refused);
+    handle(&mut gateway, 2.0, Event::Settings(Box::new(settings(&[Effect::Free, Effect::Once], 3))));
+    assert!(is_sent(&handle(&mut gateway, 3.0, Event::Request(request(2, 1)))));
+    handle(&mut gateway, 4.0, Event::Settings(Box::new(settings(&[Effect::Free], 3))));
+    assert!(is_sent(&handle(&mut gateway, 5.0, Event::Request(request(3, 1)))));
+    assert_eq!(handle(&mut gateway, 6.0, end(2, 0, Outcome::Reset)), [Action::Fail(2)]);
+}
+
+/// Units of 60 requests a second over 2 s that are let in, to a customer whose ceiling is 10 units and 10 a second.
+fn let_in(change: impl Fn(&mut Gateway, Millis)) -> usize {
+    let mut ceiling = settings(&[Effect::Free], 1);
+    let plan = &mut ceiling.plans[0];
+    (plan.ceiling_rate, plan.ceiling_burst) = (10.0, 10.0);
+    let mut gateway = gateway(ceiling.clone());
+    let mut sent = 0;
+    for n in 0..120 {
+        let now = 5000.0 + f64::from(n) * 1000.0 / 60.0;
+        change(&mut gateway, now);
+        let actions = handle(&mut gateway, now, Event::Request(request(1 + n as u64, 0)));
+        if is_sent(&actions) {
+            sent += 1;
+            handle(&mut gateway, now + 1.0, end(1 + n as u64, 0, Outcome::Ok));
+        }
+    }
+    sent
+}
+
+#[test]
+fn a_ceiling_is_not_filled_anew_by_settings_however_often_they_come() {
+    let mut same = settings(&[Effect::Free], 1);
+    let plan = &mut same.plans[0];
+    (plan.ceiling_rate, plan.ceiling_burst) = (10.0, 10.0);
+    let without = let_in(|_, _| ());
+    let with = let_in(|gateway, now| {
+        handle(gateway, now, Event::Settings(Box::new(same.clone())));
+    });
+    assert!((20..=31).contains(&without), "{without}");
+    assert_eq!(with, without);
+}
