Let the decision module hand over what it has learned to another gateway

Need: two processes of an upgrade are one door to ceilings, cold nodes and quotas. Change: Gateway::heritage and the events Inherit, Released, HandOver and TakeBack; heritage.rs turns the state into text and back, with a form of its own. An own ceiling or cold turn is never spent after HandOver. Tests: a ceiling over both gateways wherever the change falls, taking back, cold servers, attempts out elsewhere, ejection, broken texts, and any state read back the same.

--- a/crates/brassport-lab/src/emulator/baseline.rs
+++ b/crates/brassport-lab/src/emulator/baseline.rs
@@ -123,6 +123,8 @@
             Event::AttemptEnd(end) => self.ended(end, actions),
             Event::Started(id) | Event::ClientGone(id) => self.close(id),
             Event::Settings(settings) => self.settings = *settings,
+            // A baseline learns nothing that another could go on with.
+            Event::Inherit { .. } | Event::Released(_) | Event::HandOver | Event::TakeBack => {}
             Event::Timer(id) => {
                 if let Some(open) = self.open.get(&id).filter(|open| !open.done) {
                     actions.push(if open.may_have_run {
--- a/crates/brassport/tests/front_door.rs
+++ b/crates/brassport/tests/front_door.rs
@@ -738,5 +738,8 @@
     let output = spawn(&write_config(&bad), &bad, Stdio::piped()).wait_with_output().expect("it ends");
     assert!(!output.status.success());
     let said = String::from_utf8(output.stderr).expect("text");
-    assert_eq!(said, "brassport: setting plans[0].rate: must be a finite number, not below 0, and 1e12 at the most\n");
+    assert_eq!(
+        said,
+        "brassport: setting plans[0].rate: must be a finite number, not below 0, and 1e12 at the most\n"
+    );
 }
--- a/crates/springusher-counts/src/clock.rs
+++ b/crates/springusher-counts/src/clock.rs
@@ -6,6 +6,7 @@
 //! It decides nothing: it says what a reading is about.
 
 use crate::{Millis, Sends};
+use serde::{Deserialize, Serialize};
 
 /// Places within a period that its end is looked for at, and the same of the delay until it is told.
 const PARTS: usize = 10;
@@ -28,7 +29,7 @@
 const EDGES: usize = DELAYS + 2 * PARTS;
 
 /// Learns when the meter's periods end and how long after that they are told.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct MeterClock {
     period: Millis,
     /// Misfit of each place of the end, and for each of them of every delay, in units of what one that comes now
--- a/crates/springusher-counts/src/elsewhere.rs
+++ b/crates/springusher-counts/src/elsewhere.rs
@@ -1,10 +1,11 @@
 //! What readings of a shared meter tell of the others who use it, and what was held when. It decides nothing.
 
 use crate::{blend, Millis};
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
 /// What the others sent and were offered in the time that readings covered, the older the less.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Elsewhere {
     seconds: f64,
     sent: f64,
@@ -59,7 +60,7 @@
 }
 
 /// A figure that is set now and then, and what it was at earlier moments.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct History {
     set: VecDeque<(Millis, f64)>,
 }
--- a/crates/springusher-counts/src/kinds.rs
+++ b/crates/springusher-counts/src/kinds.rs
@@ -2,9 +2,10 @@
 //! leaves each when some go first.
 
 use crate::{blend, Millis};
+use serde::{Deserialize, Serialize};
 
 /// What is known of each kind, by index. A kind keeps its index; more may come to be known.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Kinds {
     shares: Vec<f64>,
     /// The kinds from the greatest worth down.
--- a/crates/springusher-counts/src/lib.rs
+++ b/crates/springusher-counts/src/lib.rs
@@ -24,6 +24,7 @@
 
 use indexmap::IndexMap;
 use rustc_hash::FxBuildHasher;
+use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use std::array::IntoIter;
 use std::cmp::Reverse;
@@ -40,7 +41,7 @@
 }
 
 /// What is counted over some time, the older the less: an amount, and the seconds that it came in.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Fading {
     /// The amount that still counts.
     pub amount: f64,
@@ -70,7 +71,7 @@
 }
 
 /// An average that fades back to 1 while nothing is told.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Factor {
     value: f64,
     at: Millis,
@@ -102,7 +103,7 @@
 }
 
 /// A store that fills at some rate up to some size, and is taken from.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Store {
     level: f64,
     at: Millis,
@@ -187,7 +188,7 @@
 }
 
 /// Attempts that are out, counted by their age. Each step costs constant time on average.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct InFlight {
     /// From the oldest that is out.
     begun: VecDeque<Begun>,
@@ -262,7 +263,7 @@
 }
 
 /// Units sent over time. A question costs the logarithm of what is kept.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Sends {
     /// When, how much, and how much up to and with it since ever.
     sends: VecDeque<(Millis, f64, f64)>,
@@ -333,7 +334,7 @@
 }
 
 /// What is due at some moment, or behind some count that only grows.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Agenda {
     lines: BinaryHeap<Reverse<(u64, u32)>>,
 }
@@ -362,7 +363,7 @@
 }
 
 /// A member on the ring, at its hash.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct Slot {
     at: u64,
     member: u32,
@@ -372,7 +373,7 @@
 /// A set from which members are drawn by weight. They stand on a ring in the order of a hash of their names, so that
 /// two sets with the same members and weights give the same member for the same part, however each came about. A change
 /// and a draw cost the logarithm of their number.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Members {
     /// All of them, in no order, and where each stands there.
     row: Vec<u32>,
--- a/crates/springusher-counts/src/returns.rs
+++ b/crates/springusher-counts/src/returns.rs
@@ -3,6 +3,8 @@
 //! One who is let in with chance `p` at each try, and comes again with probability `r` when turned away, is let in
 //! in the end with `p / (1 - r (1 - p))`, and tries `1 / (1 - r (1 - p))` times on average: a geometric series.
 
+use serde::{Deserialize, Serialize};
+
 /// Turned away before the count means much, none of whom came again.
 const DOUBT: f64 = 10.0;
 /// Highest probability that is taken for true: clients have some tries, not any number. Failures bring further tries
@@ -10,7 +12,7 @@
 const MOST: f64 = 0.8;
 
 /// Counts the turned away and the further tries. What comes here of them is a sample of what comes to all doors.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Returns {
     turned_away: f64,
     again: f64,
--- a/crates/springusher/src/admission.rs
+++ b/crates/springusher/src/admission.rs
@@ -5,6 +5,7 @@
 //! gateways is taken from the meter, and the class of the lowest worth goes first.
 
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use springusher_counts::{blend, chance_of, let_in, Elsewhere, Fading, History, MeterClock, Returns, Sends};
 
 /// Lowest chance of admission: at nought no answer would bring a reading, and the chance would stay there.
@@ -35,7 +36,7 @@
 
 /// The meter's clock, and what customers of each plan send and offer, in parts of the quota, as far as
 /// readings tell.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Admission {
     period: Millis,
     meter: MeterClock,
@@ -45,7 +46,7 @@
 }
 
 /// What is known of one customer's use of its quota.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Account {
     /// Gateways through which the customer comes.
     spread: f64,
--- a/crates/springusher/src/ceilings.rs
+++ b/crates/springusher/src/ceilings.rs
@@ -1,10 +1,11 @@
 //! Ceilings: what no customer's sends may pass, over all gateways and with no word from one to another.
 
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use springusher_counts::Store;
 
 /// This gateway's share of one customer's ceiling. It fills from birth on: an earlier life may have spent it.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Ceiling(Store);
 
 impl Ceiling {
--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -5,6 +5,7 @@
 
 use crate::interface::*;
 use oorandom::Rand64;
+use serde::{Deserialize, Serialize};
 use springusher_counts::{Agenda, Factor, InFlight, Members, Own, Ticket};
 use std::collections::VecDeque;
 
@@ -43,10 +44,11 @@
 /// Weight of a new sample in the pace of a server.
 const SAMPLE: f64 = 0.1;
 
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Server {
     entry: ServerEntry,
     /// When own attempts in hand were sent, the oldest first.
+    #[serde(skip)]
     out: VecDeque<Millis>,
     /// Time taken against the fleet's mean; it fades to that of the others, so that a server passed over is
     /// tried again.
@@ -62,7 +64,7 @@
     cold: Option<Cold>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct Cold {
     launched: Option<Millis>,
     since: Millis,
@@ -82,10 +84,12 @@
     pub home: Option<ServerEntry>,
     /// Servers that were tried.
     pub tried: &'a dyn Fn(ServerId) -> bool,
+    /// Whether the turns of cold servers are another's to spend.
+    pub retired: bool,
 }
 
 /// The servers.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Fleet {
     servers: Own<ServerId, Server>,
     /// Those that are ready and warm.
@@ -98,6 +102,7 @@
     turns: Agenda,
     /// Choices so far, each in parts of the fleet's capacity.
     passed: f64,
+    #[serde(skip)]
     in_flight: InFlight,
 }
 
@@ -288,7 +293,7 @@
     /// cold server whose turn it is, or one that is ejected or was tried, for want of a better.
     fn cold_turn(&mut self, wanted: &Wanted) -> (Option<ServerId>, Option<ServerId>) {
         let (settings, now, (count, since)) = (wanted.settings, wanted.now, self.cold);
-        if count == 0 {
+        if count == 0 || wanted.retired {
             return (None, None);
         }
         let ready = self.ready() as f64;
--- a/crates/springusher/src/control.rs
+++ b/crates/springusher/src/control.rs
@@ -7,6 +7,7 @@
 use crate::life::{Open, LATE, PATIENCE};
 use crate::room::Room;
 use oorandom::Rand64;
+use serde::{Deserialize, Serialize};
 use springusher_counts::{take_out, Kinds, Known, Own, Rounds, Tally};
 use std::collections::VecDeque;
 
@@ -23,7 +24,7 @@
 /// The timer's token for another look at the server list; those of requests are in `life.rs`.
 const LIST: u64 = 2;
 
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Customer {
     pub plan: usize,
     seen: Millis,
@@ -40,7 +41,7 @@
 pub struct Gateway {
     pub(crate) settings: Settings,
     rng: Rand64,
-    born: Millis,
+    pub(crate) born: Millis,
     pub(crate) now: Millis,
     pub(crate) customers: Known<CustomerId, Box<Customer>>,
     pub(crate) admission: Admission,
@@ -50,8 +51,10 @@
     pub(crate) fleet: Fleet,
     /// Recent share of each class in the offered requests, and its answers' mean time.
     pub(crate) kinds: Kinds,
-    room: Room,
+    pub(crate) room: Room,
     pub(crate) retry_budget: f64,
+    /// Whether another gateway has taken this one's place: its ceilings and cold turns are that one's.
+    pub(crate) retired: bool,
 }
 
 /// The worth of each class, and the time that an answer to it is taken to need before there was one.
@@ -79,6 +82,7 @@
             kinds: Kinds::new(kinds(&settings)),
             room: Room::new(now),
             retry_budget: 1.0,
+            retired: false,
             settings,
         })
     }
@@ -93,17 +97,21 @@
             Event::Timer(token) if token % 4 == LIST => actions.push(Action::FollowServers),
             Event::Timer(token) => self.timer(token, actions),
             Event::Servers { kind, entries } => self.roster(kind, entries, actions),
-            Event::Settings(settings) => self.settle(*settings),
+            Event::Settings(settings) if settings.go_on_from(&self.settings) => self.settle(*settings),
+            Event::Settings(_) => {}
+            Event::Inherit { learned, out } => actions.extend(self.inherit(&learned, &out).map(Action::Log)),
+            Event::Released(customer) => self.release(customer, actions),
+            Event::HandOver => self.retired = true,
+            // What the other has spent meanwhile is not known: the ceilings fill from now on.
+            Event::TakeBack => {
+                (self.retired, self.born) = (false, self.now);
+                self.customers.values_mut().for_each(|customer| customer.ceiling = Ceiling::new(self.now));
+            }
         }
     }
 
     /// Goes on under other settings: what was learned of classes, plans, customers and servers stays.
     fn settle(&mut self, settings: Settings) {
-        let counts = |settings: &Settings| (settings.classes.len(), settings.plans.len());
-        let ((classes, plans), (before, plans_before)) = (counts(&settings), counts(&self.settings));
-        if classes < before || plans < plans_before || settings.validate().is_err() {
-            return;
-        }
         self.kinds.set(kinds(&settings));
         self.admission.settle(&settings);
         self.fleet.settle(&settings);
@@ -218,6 +226,7 @@
             effect: open.class.effect,
             home: open.ran().map(|attempt| attempt.to),
             tried: &|id| open.attempts.iter().any(|attempt| attempt.to.id == id),
+            retired: self.retired,
         };
         self.fleet.choose(&wanted, &mut self.rng)
     }
--- a/crates/springusher/src/interface.rs
+++ b/crates/springusher/src/interface.rs
@@ -1,5 +1,6 @@
 //! The interface of the decision module: settings, events, actions and outcomes. It decides nothing.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// A moment of the host's monotonic clock, or a span of it, in milliseconds.
@@ -12,7 +13,7 @@
 pub type CustomerId = u64;
 
 /// Which servers drop a repeat of a keyed request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Scope {
     /// Every server.
     All,
@@ -23,7 +24,7 @@
 }
 
 /// What a second run of a request does.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Effect {
     /// Safe to repeat.
     Free,
@@ -39,7 +40,7 @@
 }
 
 /// A class of requests.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Worth of one request.
     pub worth: f64,
@@ -54,7 +55,7 @@
 }
 
 /// A plan; its quota holds for each customer over all gateways together.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Plan {
     /// Quota, units a second; 0: none.
     pub rate: f64,
@@ -85,7 +86,7 @@
 }
 
 /// What a gateway is told at its start.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// Number of gateways.
     pub gateways: u32,
@@ -178,6 +179,12 @@
         known && request.units.is_finite() && request.units >= 0.0
     }
 
+    /// Whether a gateway can go on under these after the others: they make sense and are short of no class or plan.
+    pub fn go_on_from(&self, others: &Settings) -> bool {
+        let keeps = self.classes.len() >= others.classes.len() && self.plans.len() >= others.plans.len();
+        keeps && self.validate().is_ok()
+    }
+
     /// Checks every figure for sense.
     ///
     /// # Errors
@@ -241,7 +248,7 @@
 }
 
 /// State of a server as the list tells it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Lifecycle {
     /// Takes requests.
     Ready,
@@ -252,7 +259,7 @@
 }
 
 /// One line of the server list.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// The server.
     pub id: ServerId,
@@ -391,6 +398,19 @@
     Timer(u64),
     /// Other settings hold from now on. A class or plan keeps its index; there may be more of them, and not fewer.
     Settings(Box<Settings>),
+    /// Go on in the place of another gateway under the same settings, before any request came.
+    Inherit {
+        /// What that one had learned: [`Gateway::heritage`](crate::Gateway::heritage).
+        learned: String,
+        /// Customers of attempts that are still out there, each once for every such attempt.
+        out: Vec<CustomerId>,
+    },
+    /// An attempt of this customer that was out where this gateway inherits from has ended.
+    Released(CustomerId),
+    /// Another gateway goes on in this one's place: from here on ceilings and turns of cold servers are spent there.
+    HandOver,
+    /// It does not: they are this gateway's again.
+    TakeBack,
 }
 
 /// What a gateway asks of its host.
--- a/crates/springusher/src/lib.rs
+++ b/crates/springusher/src/lib.rs
@@ -44,6 +44,7 @@
 mod ceilings;
 mod choice;
 pub mod control;
+mod heritage;
 pub mod interface;
 mod life;
 mod room;
--- a/crates/springusher/src/life.rs
+++ b/crates/springusher/src/life.rs
@@ -90,8 +90,9 @@
             return self.refuse(id, self.settings.max_retry_after, actions);
         };
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
-        if let Err(wait) = customer.ceiling.take(&self.settings, &request, self.now) {
-            return self.refuse(id, wait, actions);
+        let room = customer.ceiling.take(&self.settings, &request, self.now);
+        if self.retired && plan.ceiling_rate > 0.0 || room.is_err() {
+            return self.refuse(id, room.err().unwrap_or(self.settings.max_retry_after), actions);
         }
         customer.account.sent(&plan, request.units, self.now);
         self.retry_budget = (self.retry_budget + RETRY_SHARE).min(self.fleet.len() as f64);
@@ -182,10 +183,6 @@
         }
         self.fleet.end(server, sent, ticket);
         self.judge(request.class, server, &end, actions);
-        let next = self.customers.get_mut(&request.customer).and_then(|customer| {
-            customer.open = customer.open.saturating_sub(1);
-            customer.held.pop_front()
-        });
         if let Some(used) = end.used {
             if let Some(customer) = self.customers.get_mut(&request.customer) {
                 self.admission.read(&mut customer.account, &self.settings, customer.plan, used, self.now);
@@ -203,7 +200,14 @@
             }
         }
         self.forget_if_over(end.request);
-        if let Some(next) = next.filter(|next| self.requests.contains_key(next)) {
+        self.release(request.customer, actions);
+    }
+
+    /// An attempt of the customer is over, here or elsewhere: one that waits for that may go.
+    pub(crate) fn release(&mut self, customer: CustomerId, actions: &mut Vec<Action>) {
+        let Some(customer) = self.customers.get_mut(&customer) else { return };
+        customer.open = customer.open.saturating_sub(1);
+        if let Some(next) = customer.held.pop_front().filter(|next| self.requests.contains_key(next)) {
             self.dispatch(next, actions);
         }
     }
--- a/crates/springusher/src/room.rs
+++ b/crates/springusher/src/room.rs
@@ -1,6 +1,7 @@
 //! Room: how much of what the quotas admit the servers can do now, and how much work may be in flight.
 
 use crate::interface::Millis;
+use serde::{Deserialize, Serialize};
 
 /// Room of a new gateway: slow start, as hundreds may be born at once and none knows of the others.
 const START: f64 = 0.5;
@@ -23,7 +24,7 @@
 const CREW: f64 = 5.0;
 
 /// What the servers have room for, as far as answers tell.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Room {
     /// Share of what the quotas admit, and when it was last set.
     pub part: f64,
--- /dev/null
+++ b/crates/springusher/tests/heritage.rs
@@ -0,0 +1,226 @@
+//! One gateway goes on in another's place.
+
+mod common;
+
+use proptest::prelude::*;
+use springusher::*;
+
+fn settings() -> Settings {
+    let class = |effect| Class { worth: 1.0, aim: 1000.0, deadline: 4000.0, late_share: 0.0, effect };
+    let plan = Plan { rate: 20.0, burst: 40.0, open: 2, ..Plan::default() };
+    Settings {
+        classes: vec![class(Effect::Free), class(Effect::Once)],
+        plans: vec![plan, Plan { open: 0, ceiling_rate: 10.0, ceiling_burst: 10.0, ..plan }],
+        max_attempts: 3,
+        meter_period: 500.0,
+        cold_from: 0.24,
+        cold_for: 18_000.0,
+        tip_multiple: 2.0,
+        tip_after: 3000.0,
+        ..Settings::default()
+    }
+}
+
+fn request(id: RequestId, customer: CustomerId, plan: usize) -> Request {
+    Request { id, customer, plan, class: 0, units: 1.0, spread: 1, expires_in: 4000.0, repeat: false }
+}
+
+fn servers(cold: u32, warm: u32) -> Event {
+    let entry = |id| ServerEntry {
+        id,
+        zone: 0,
+        cell: 0,
+        share: 1.0,
+        lifecycle: Lifecycle::Ready,
+        launched: (id < cold).then_some(-1.0),
+    };
+    Event::Servers { kind: ListKind::Full, entries: (0..cold + warm).map(entry).collect() }
+}
+
+fn gateway() -> Gateway {
+    Gateway::new(settings(), 1, 0.0).expect("sound settings")
+}
+
+fn handle(gateway: &mut Gateway, now: Millis, event: Event) -> Vec<Action> {
+    let mut actions = Vec::new();
+    gateway.handle(now, event, &mut actions);
+    actions.retain(|action| !matches!(action, Action::Timer { .. }));
+    actions
+}
+
+fn sent_to(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+fn end(request: RequestId) -> Event {
+    let (attempt, outcome) = (0, Outcome::Ok);
+    Event::AttemptEnd(AttemptEnd { request, attempt, outcome, elapsed: 5.0, finished: true, used: None })
+}
+
+fn successor_of(old: &mut Gateway, now: Millis, out: Vec<CustomerId>) -> Gateway {
+    let learned = old.heritage();
+    handle(old, now, Event::HandOver);
+    let mut new = gateway();
+    assert_eq!(handle(&mut new, now, Event::Inherit { learned, out }), []);
+    new
+}
+
+/// Requests of a customer with a ceiling, one each 20 ms from `from` on, let in by either of the two.
+fn let_in(gateways: &mut [&mut Gateway], from: Millis, count: u64, first: RequestId) -> usize {
+    let mut sent = 0;
+    for n in 0..count {
+        let now = from + 20.0 * n as f64;
+        for gateway in gateways.iter_mut() {
+            let actions = handle(gateway, now, Event::Request(request(first + n, 7, 1)));
+            if sent_to(&actions).is_some() {
+                sent += 1;
+                handle(gateway, now + 1.0, end(first + n));
+            }
+        }
+    }
+    sent
+}
+
+#[test]
+fn a_ceiling_is_spent_by_one_of_the_two_however_the_change_falls() {
+    for steps_before in [0, 10, 30, 60] {
+        let mut old = gateway();
+        handle(&mut old, 0.0, servers(0, 4));
+        let before = let_in(&mut [&mut old], 2000.0, steps_before, 1);
+        let at = 2000.0 + 20.0 * steps_before as f64;
+        let mut new = successor_of(&mut old, at, Vec::new());
+        let after = let_in(&mut [&mut old, &mut new], at, 100 - steps_before, 1000);
+        // Ten at once, and ten a second over two seconds.
+        assert!(before + after <= 31, "{before} and {after}");
+        assert!(before + after >= 20, "{before} and {after}: it is not lost either");
+    }
+}
+
+#[test]
+fn a_gateway_that_takes_back_has_no_more_than_comes_from_then_on() {
+    let mut old = gateway();
+    handle(&mut old, 0.0, servers(0, 4));
+    let mut new = successor_of(&mut old, 2000.0, Vec::new());
+    let spent = let_in(&mut [&mut new], 2000.0, 10, 1);
+    drop(new);
+    handle(&mut old, 2200.0, Event::TakeBack);
+    let after = let_in(&mut [&mut old], 2200.0, 90, 1000);
+    assert!(spent > 0 && after > 0 && spent + after <= 31, "{spent} and {after}");
+}
+
+#[test]
+fn a_cold_server_gets_nothing_from_the_one_that_handed_over() {
+    let mut old = gateway();
+    handle(&mut old, 0.0, servers(3, 1));
+    let mut new = successor_of(&mut old, 100.0, Vec::new());
+    let (mut by_old, mut by_new) = (0, 0);
+    for n in 0..400 {
+        let now = 100.0 + f64::from(n);
+        for (gateway, count) in [(&mut old, &mut by_old), (&mut new, &mut by_new)] {
+            let id = 1 + n as u64;
+            let server = sent_to(&handle(gateway, now, Event::Request(request(id, id, 0))));
+            *count += usize::from(server.is_some_and(|server| server < 3));
+            handle(gateway, now, end(id));
+        }
+    }
+    assert_eq!(by_old, 0);
+    assert!(by_new > 20, "{by_new} of 400 to three cold ones of four");
+}
+
+#[test]
+fn attempts_out_with_the_other_count_until_they_end_there() {
+    let mut old = gateway();
+    handle(&mut old, 0.0, servers(0, 4));
+    for id in [1, 2] {
+        assert!(sent_to(&handle(&mut old, 1000.0, Event::Request(request(id, 7, 0)))).is_some());
+    }
+    let mut new = successor_of(&mut old, 1001.0, vec![7, 7]);
+    assert_eq!(sent_to(&handle(&mut new, 1002.0, Event::Request(request(1, 7, 0)))), None, "both are out there");
+    assert!(sent_to(&handle(&mut new, 1003.0, Event::Released(7))).is_some(), "the one that waited goes");
+    assert_eq!(sent_to(&handle(&mut new, 1004.0, Event::Request(request(2, 7, 0)))), None);
+}
+
+#[test]
+fn a_server_that_was_ejected_stays_so() {
+    let mut old = gateway();
+    handle(&mut old, 0.0, servers(0, 1));
+    for id in 1..9 {
+        let now = 1000.0 + id as f64;
+        if sent_to(&handle(&mut old, now, Event::Request(request(id, id, 0)))).is_some() {
+            let (attempt, outcome) = (0, Outcome::Error);
+            let failed =
+                AttemptEnd { request: id, attempt, outcome, elapsed: 5.0, finished: true, used: None };
+            handle(&mut old, now, Event::AttemptEnd(failed));
+        }
+    }
+    assert!(old.avoids(0, 1010.0));
+    let new = successor_of(&mut old, 1010.0, Vec::new());
+    assert!(new.avoids(0, 1010.0));
+}
+
+#[test]
+fn what_makes_no_sense_is_no_heritage_and_the_gateway_begins_anew() {
+    let mut old = gateway();
+    handle(&mut old, 0.0, servers(1, 3));
+    let sound = old.heritage();
+    let other_form = sound.replacen("\"form\":1", "\"form\":2", 1);
+    assert_ne!(sound, other_form);
+    for learned in ["", "{}", &sound[..sound.len() / 2], &other_form] {
+        let mut new = gateway();
+        let said = handle(&mut new, 10.0, Event::Inherit { learned: learned.into(), out: vec![7] });
+        assert!(matches!(&said[..], [Action::Log(line)] if line.contains("not taken")), "{said:?}");
+        handle(&mut new, 10.0, servers(0, 2));
+        assert!(sent_to(&handle(&mut new, 2000.0, Event::Request(request(1, 7, 0)))).is_some());
+    }
+}
+
+proptest! {
+    /// Whatever happened before, the text is read, and what it says is what the new one would say again.
+    #[test]
+    fn the_text_of_any_state_is_read_and_says_the_same_again(
+        seed in any::<u64>(),
+        steps in prop::collection::vec((0u8..6, 1u16..400, 0u64..5), 1..120),
+    ) {
+        println!("seed {seed}");
+        let mut old = Gateway::new(settings(), seed, 0.0).expect("sound settings");
+        handle(&mut old, 0.0, servers(2, 3));
+        let (mut now, mut id, mut open) = (0.0, 0, Vec::new());
+        for (what, time, customer) in steps {
+            now += f64::from(time);
+            if what < 4 {
+                id += 1;
+                let asked = request(id, customer, usize::from(what % 2));
+                if sent_to(&handle(&mut old, now, Event::Request(asked))).is_some() {
+                    open.push(id);
+                }
+            } else if let Some(done) = open.pop() {
+                let used = (what == 5).then_some(f64::from(time) / 200.0);
+                let (attempt, outcome) = (0, if time % 3 == 0 { Outcome::Error } else { Outcome::Ok });
+                let end = AttemptEnd { request: done, attempt, outcome, elapsed: 5.0, finished: true, used };
+                handle(&mut old, now, Event::AttemptEnd(end));
+            }
+        }
+        for done in open {
+            handle(&mut old, now, end(done));
+        }
+        let learned = old.heritage();
+        let mut new = gateway();
+        let said = handle(&mut new, now, Event::Inherit { learned: learned.clone(), out: Vec::new() });
+        prop_assert_eq!(said, []);
+        // Settling under the same settings adds lines to an agenda and changes nothing else.
+        let without = |text: &str| {
+            let mut value: serde_json::Value = serde_json::from_str(text).expect("JSON");
+            value["now"] = serde_json::Value::Null;
+            value["fleet"].as_object_mut().expect("a fleet").remove("warming");
+            // What is out or waits there does not go over.
+            for customer in value["customers"].as_object_mut().expect("customers").values_mut() {
+                customer.as_object_mut().expect("one").retain(|key, _| key != "open" && key != "held");
+            }
+            value
+        };
+        prop_assert!(without(&new.heritage()) == without(&learned));
+    }
+}
