--- a/crates/brassport-lab/src/emulator/baseline.rs
+++ b/crates/brassport-lab/src/emulator/baseline.rs
@@ -119,7 +119,8 @@
                     }
                 }
             }
-            Event::Request(request) => self.arrive(now, request, actions),
+            Event::Request(request) | Event::Upload(request) => self.arrive(now, request, actions),
+            Event::Whole(_) => {}
             Event::AttemptEnd(end) => self.ended(end, actions),
             Event::Started(id) | Event::ClientGone(id) => self.close(id),
             Event::Settings(settings) => self.settings = *settings,
--- a/crates/brassport/src/backends.rs
+++ b/crates/brassport/src/backends.rs
@@ -1,13 +1,15 @@
 //! The backends: where they are, the idle connections to them, and the attempts.
 
+use crate::bodies::{Answer, Coming, Pieces, HELD_LIMIT, LIMIT};
 use crate::clock::Clock;
 use crate::connection::{Connection, Failure};
 use crate::mutants::mutant;
 use crate::network::Network;
 use crate::run::metrics::Figures;
 use http_body_util::Full;
-use hyper::body::Bytes;
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use springusher::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
@@ -20,8 +22,10 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// Most bytes of a body, either way.
-pub const BODY_LIMIT: usize = 64 * 1024;
+/// How long an answer of unknown length is held back to see whether it is short.
+const HELD_FOR: Duration = Duration::from_millis(50);
+/// How long either side of an answer that has begun may stand still.
+const STANDSTILL: Duration = Duration::from_secs(15);
 /// Part of the backends' idle time after which a connection is closed: they may close theirs earlier than
 /// they say, and a request that crosses that is lost.
 const IDLE_PART: f64 = 0.5;
@@ -43,13 +47,15 @@
     pub outcome: Outcome,
     /// The customer's use in the meter's last period, as a share of its rate.
     pub used: Option<f64>,
-    /// The answer, if the backend served the request.
-    pub answer: Option<Response<Bytes>>,
+    /// The answer, if the backend served the request and it has not been passed on yet.
+    pub answer: Option<Response<Answer>>,
+    /// When the first bytes of a long answer came.
+    pub begun: Option<Instant>,
 }
 
 impl From<Outcome> for End {
     fn from(outcome: Outcome) -> End {
-        End { outcome, used: None, answer: None }
+        End { outcome, used: None, answer: None, begun: None }
     }
 }
 
@@ -159,7 +165,8 @@
     }
 
     /// One attempt. It is over, and its socket closed or idle again, when this returns. `wanted` tells
-    /// whether the request still waits for an answer, `cancel` calls the attempt off.
+    /// whether the request still waits for an answer, `cancel` calls the attempt off. An answer that is long goes to
+    /// `pass_on` when it begins; from there on neither time nor cancel ends the attempt.
     pub async fn attempt(
         &self,
         id: ServerId,
@@ -167,9 +174,11 @@
         expire_at: Instant,
         cancel: impl Future,
         wanted: impl Fn() -> bool,
+        pass_on: impl FnOnce(Response<Answer>),
     ) -> End {
-        let written = Cell::new(false);
-        let exchange = self.exchange(id, message, expire_at, wanted, &written);
+        let (written, begun) = (Cell::new(false), Cell::new(None));
+        let progress = Progress { written: &written, begun: &begun };
+        let exchange = self.exchange(id, message, expire_at, wanted, pass_on, progress);
         #[cfg(not(feature = "mutants"))]
         let mut exchange = std::pin::pin!(exchange);
         // On the heap, for the mutant that keeps it.
@@ -183,6 +192,9 @@
             end = &mut exchange => return end,
             () = self.clock.sleep_until(expire_at) => Outcome::TimedOut,
         };
+        if begun.get().is_some() {
+            return exchange.await;
+        }
         #[cfg(feature = "mutants")]
         if mutant!(KeepTimedOutAttempt) && ended == Outcome::TimedOut {
             std::mem::forget(exchange);
@@ -200,7 +212,8 @@
         message: &Message,
         expire_at: Instant,
         wanted: impl Fn() -> bool,
-        written: &Cell<bool>,
+        pass_on: impl FnOnce(Response<Answer>),
+        progress: Progress<'_>,
     ) -> End {
         let Some(address) = self.ready_at(id) else { return Outcome::Moot.into() };
         let begun = self.clock.now();
@@ -220,25 +233,99 @@
         if self.ready_at(id) != Some(address) || !(wanted() || mutant!(SendBehindAnswer)) {
             return Outcome::Moot.into();
         }
-        written.set(true);
-        let answer = match pooled
-            .connection
-            .exchange(message.to_send(expire_at.saturating_duration_since(self.clock.now())), BODY_LIMIT)
-            .await
-        {
-            Ok(answer) => {
-                self.figures.attempt_written();
-                answer
-            }
+        progress.written.set(true);
+        let request = message.to_send(expire_at.saturating_duration_since(self.clock.now()));
+        let answer = match pooled.connection.begin(request).await {
+            Ok(answer) => answer,
             Err(Failure::Unsent) => return Outcome::NoConnection.into(),
             Err(Failure::Broken) if mutant!(RetryAfterReset) => return Outcome::NoConnection.into(),
             Err(Failure::Broken) => return Outcome::Reset.into(),
         };
+        self.figures.attempt_written();
+        let (head, body) = answer.into_parts();
+        let mut end = judge(&head);
+        match self.body(&mut pooled.connection, &head, body).await {
+            Ok(Held::Whole(bytes)) => {
+                end.answer = (end.outcome == Outcome::Ok).then(|| Response::from_parts(head, bytes.into()));
+            }
+            Ok(Held::Long(first, rest)) => {
+                progress.begun.set(Some(self.clock.now()));
+                end.begun = progress.begun.get();
+                let length = rest.size_hint().exact().map(|left| left + first.len() as u64);
+                let (to, coming) = Coming::new(length);
+                pass_on(Response::from_parts(head, Answer::Coming(coming)));
+                if !self.pump(&mut pooled.connection, first, rest, to).await {
+                    return end;
+                }
+            }
+            Err(_) if mutant!(RetryAfterReset) => return Outcome::NoConnection.into(),
+            Err(_) => return Outcome::Reset.into(),
+        }
         if !self.keeps_none.get() && pooled.connection.is_usable().await {
             pooled.since = self.clock.now();
             self.park(id, address, pooled);
         }
-        judge(answer)
+        end
+    }
+
+    /// The body of an answer, or what has come of it once it turns out to be long. Only what serves a client may be.
+    async fn body(
+        &self,
+        connection: &mut Connection<N::Stream>,
+        head: &Parts,
+        mut body: Incoming,
+    ) -> Result<Held, Failure> {
+        let hint = body.size_hint();
+        if head.status != StatusCode::OK || hint.upper().is_some_and(|most| most <= HELD_LIMIT as u64) {
+            return connection.collect(body, HELD_LIMIT).await.map(Held::Whole);
+        }
+        let mut first = Vec::new();
+        if let Some(length) = hint.exact() {
+            // Guards against a length that makes no sense.
+            if length > LIMIT {
+                return Err(Failure::Broken);
+            }
+            return Ok(Held::Long(Bytes::new(), body));
+        }
+        let until = self.clock.now() + HELD_FOR;
+        while first.len() <= HELD_LIMIT {
+            match self.clock.timeout_at(until, connection.next(&mut body)).await {
+                Some(Ok(Some(bytes))) => first.extend_from_slice(&bytes),
+                Some(Ok(None)) => return Ok(Held::Whole(first.into())),
+                Some(Err(failure)) => return Err(failure),
+                // With nothing to pass on there is nothing to gain.
+                None if first.is_empty() => match connection.next(&mut body).await? {
+                    Some(bytes) => first.extend_from_slice(&bytes),
+                    None => return Ok(Held::Whole(Bytes::new())),
+                },
+                None => break,
+            }
+        }
+        Ok(Held::Long(first.into(), body))
+    }
+
+    /// Passes on what comes of an answer. Whether all of it came and its connection is of use.
+    async fn pump(
+        &self,
+        connection: &mut Connection<N::Stream>,
+        first: Bytes,
+        mut rest: Incoming,
+        to: Pieces,
+    ) -> bool {
+        let mut next = Some(first);
+        while let Some(bytes) = next {
+            // Guards against a client that takes nothing and keeps a backend's connection.
+            if self.clock.timeout(STANDSTILL, to.write(bytes)).await != Some(true) {
+                return false;
+            }
+            next = match self.clock.timeout(STANDSTILL, connection.next(&mut rest)).await {
+                Some(Ok(next)) => next,
+                // `to` is dropped, and its client sees that the answer is not whole.
+                _ => return false,
+            };
+        }
+        let _ = self.clock.timeout(STANDSTILL, to.end()).await;
+        true
     }
 
     fn age(&self, pooled: &Pooled<N::Stream>) -> Duration {
@@ -301,22 +388,33 @@
     }
 }
 
-/// What an answer says of its attempt.
-fn judge(answer: Response<Bytes>) -> End {
-    let header = |name| answer.headers().get(name).and_then(|value| value.to_str().ok());
-    let used = used(answer.headers());
+/// How far an attempt has come.
+struct Progress<'a> {
+    /// Whether the request may have been written whole.
+    written: &'a Cell<bool>,
+    /// When an answer began that is passed on as it comes.
+    begun: &'a Cell<Option<Instant>>,
+}
+
+enum Held {
+    Whole(Bytes),
+    /// What has come, and what still comes.
+    Long(Bytes, Incoming),
+}
+
+/// What the head of an answer says of its attempt.
+fn judge(answer: &Parts) -> End {
+    let header = |name| answer.headers.get(name).and_then(|value| value.to_str().ok());
+    let used = used(&answer.headers);
     let turned_away = header("x-not-run").is_some_and(|text| text.trim() == "1") || mutant!(TrustPlain503);
-    if mutant!(ErrorNeverRan) && answer.status() == StatusCode::INTERNAL_SERVER_ERROR {
-        return End { outcome: Outcome::Full, used, answer: None };
-    }
-    match answer.status() {
-        StatusCode::OK => End { outcome: Outcome::Ok, used, answer: Some(answer) },
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
-            End { outcome: Outcome::Full, used, answer: None }
-        }
+    let outcome = match answer.status {
+        StatusCode::INTERNAL_SERVER_ERROR if mutant!(ErrorNeverRan) => Outcome::Full,
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Full,
         // Anything else may have run.
-        _ => End { outcome: Outcome::Error, used, answer: None },
-    }
+        _ => Outcome::Error,
+    };
+    End { used, ..outcome.into() }
 }
 
 /// The meter's figure. Guards the quota against one that is spoilt: what cannot be is no figure.
--- /dev/null
+++ b/crates/brassport/src/bodies/mod.rs
@@ -0,0 +1,331 @@
+//! Bodies of messages: held whole while they are short, passed through piece by piece beyond that.
+
+pub mod pace;
+
+use crate::clock::Clock;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use pace::Pace;
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Most bytes of a body that is held whole, either way.
+pub const HELD_LIMIT: usize = 64 * 1024;
+/// Most bytes of any body.
+pub const LIMIT: u64 = 256 << 20;
+/// Pieces of an answer that wait for the client to take them.
+const WAITING: usize = 1;
+
+/// A body that did not come whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Broken;
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the body did not come whole")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// The body of a request to a backend.
+pub enum Outgoing {
+    Whole(Full<Bytes>),
+    /// One that is still coming.
+    Coming(Pin<Box<dyn Body<Data = Bytes, Error = Broken>>>),
+}
+
+impl From<Full<Bytes>> for Outgoing {
+    fn from(body: Full<Bytes>) -> Outgoing {
+        Outgoing::Whole(body)
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Outgoing::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
+            Outgoing::Coming(body) => body.as_mut().poll_frame(context),
+        }
+    }
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Outgoing::Whole(body) => body.is_end_stream(),
+            Outgoing::Coming(body) => body.is_end_stream(),
+        }
+    }
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Outgoing::Whole(body) => body.size_hint(),
+            Outgoing::Coming(body) => body.size_hint(),
+        }
+    }
+}
+
+/// The body of an answer to a client.
+pub enum Answer {
+    Whole(Full<Bytes>),
+    /// One that is still coming.
+    Coming(Coming),
+}
+
+impl From<Bytes> for Answer {
+    fn from(bytes: Bytes) -> Answer {
+        Answer::Whole(Full::new(bytes))
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Answer::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
+            Answer::Coming(body) => body.poll_piece(context).map_ok(Frame::data),
+        }
+    }
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Answer::Whole(body) => body.is_end_stream(),
+            Answer::Coming(body) => body.is_over,
+        }
+    }
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Answer::Whole(body) => body.size_hint(),
+            Answer::Coming(body) => body.left.map_or_else(SizeHint::default, SizeHint::with_exact),
+        }
+    }
+}
+
+enum Piece {
+    Bytes(Bytes),
+    /// All has come. Without it the body is broken.
+    End,
+}
+
+/// An answer of which more comes.
+pub struct Coming {
+    pieces: mpsc::Receiver<Piece>,
+    /// Bytes that are still to come, where that is known.
+    left: Option<u64>,
+    is_over: bool,
+    at_end: Option<Box<dyn FnOnce(bool)>>,
+}
+
+impl Coming {
+    /// A body of this length, if that is known, and the side that it is written to.
+    pub fn new(length: Option<u64>) -> (Pieces, Coming) {
+        let (to, pieces) = mpsc::channel(WAITING);
+        (Pieces(to), Coming { pieces, left: length, is_over: false, at_end: None })
+    }
+
+    /// What is to be done once all has been taken, and told so, or once nobody takes it any more.
+    pub fn at_end(&mut self, end: impl FnOnce(bool) + 'static) {
+        self.at_end = Some(Box::new(end));
+    }
+
+    fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        if self.is_over {
+            return Poll::Ready(None);
+        }
+        let piece = std::task::ready!(self.pieces.poll_recv(context));
+        Poll::Ready(match piece {
+            Some(Piece::Bytes(bytes)) => {
+                if let Some(left) = &mut self.left {
+                    *left = left.saturating_sub(bytes.len() as u64);
+                    // Whoever writes it asks for no more once the length is there.
+                    if *left == 0 {
+                        self.end(true);
+                    }
+                }
+                Some(Ok(bytes))
+            }
+            Some(Piece::End) => {
+                self.end(true);
+                None
+            }
+            None => {
+                self.end(false);
+                Some(Err(Broken))
+            }
+        })
+    }
+
+    fn end(&mut self, whole: bool) {
+        self.is_over = true;
+        if let Some(end) = self.at_end.take() {
+            end(whole);
+        }
+    }
+}
+
+impl Drop for Coming {
+    fn drop(&mut self) {
+        self.end(false);
+    }
+}
+
+/// The writing side of a [`Coming`]; dropped before [`end`](Pieces::end) the body is broken, and its client can tell.
+pub struct Pieces(mpsc::Sender<Piece>);
+
+impl Pieces {
+    /// Writes on once there is room; false if nobody takes it any more.
+    pub async fn write(&self, bytes: Bytes) -> bool {
+        bytes.is_empty() || self.0.send(Piece::Bytes(bytes)).await.is_ok()
+    }
+
+    /// All is written.
+    pub async fn end(self) {
+        let _ = self.0.send(Piece::End).await;
+    }
+}
+
+/// Why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Problem {
+    Broken,
+    TooSlow,
+    TooLong,
+}
+
+/// Reads a body of `most` bytes at the most, as long as it keeps pace.
+///
+/// # Errors
+/// It broke off, came too slowly or is longer.
+pub async fn read_whole<C: Clock>(
+    clock: &C,
+    body: &mut Incoming,
+    most: usize,
+    pace: &mut Pace,
+) -> Result<Bytes, Problem> {
+    let mut first = Bytes::new();
+    let mut all = Vec::new();
+    loop {
+        match next(clock, body, pace).await? {
+            None if all.is_empty() => return Ok(first),
+            None => return Ok(all.into()),
+            Some(bytes) if first.len() + bytes.len() > most || all.len() + bytes.len() > most => {
+                return Err(Problem::TooLong)
+            }
+            Some(bytes) if first.is_empty() && all.is_empty() => first = bytes,
+            Some(bytes) => {
+                if all.is_empty() {
+                    all.extend_from_slice(&std::mem::take(&mut first));
+                }
+                all.extend_from_slice(&bytes);
+            }
+        }
+    }
+}
+
+/// The next bytes of a body; `None` at its end.
+async fn next<C: Clock>(clock: &C, body: &mut Incoming, pace: &mut Pace) -> Result<Option<Bytes>, Problem> {
+    loop {
+        let (asked, patience) = (clock.now(), pace.patience());
+        if patience == Duration::ZERO {
+            return Err(Problem::TooSlow);
+        }
+        let frame = match clock.timeout(patience, body.frame()).await {
+            None => return Err(Problem::TooSlow),
+            Some(None) => return Ok(None),
+            Some(Some(frame)) => frame.map_err(|_| Problem::Broken)?,
+        };
+        // Trailers are nobody's here.
+        if let Ok(bytes) = frame.into_data() {
+            pace.came(clock.now().saturating_duration_since(asked), bytes.len());
+            return Ok(Some(bytes));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+    use std::future::Future;
+    use std::rc::Rc;
+
+    async fn taken(mut body: Coming, ended: &Rc<Cell<Option<bool>>>) -> (Vec<u8>, bool) {
+        let ended = ended.clone();
+        body.at_end(move |whole| ended.set(Some(whole)));
+        let mut all = Vec::new();
+        let mut body = Answer::Coming(body);
+        loop {
+            match body.frame().await {
+                None => return (all, true),
+                Some(Err(Broken)) => return (all, false),
+                Some(Ok(frame)) => all.extend_from_slice(&frame.into_data().expect("data")),
+            }
+        }
+    }
+
+    #[tokio::test]
+    async fn an_answer_that_is_dropped_half_way_is_broken_whether_or_not_its_length_is_known() {
+        for length in [None, Some(10)] {
+            let ended = Rc::default();
+            let (to, body) = Coming::new(length);
+            let write = async move {
+                assert!(to.write(Bytes::from_static(b"12345")).await);
+            };
+            let ((), (all, whole)) = tokio::join!(write, taken(body, &ended));
+            assert_eq!((&all[..], whole, ended.get()), (&b"12345"[..], false, Some(false)), "{length:?}");
+        }
+    }
+
+    #[tokio::test]
+    async fn an_answer_ends_at_its_length_or_where_it_is_told_to() {
+        for length in [None, Some(10)] {
+            let ended = Rc::default();
+            let (to, body) = Coming::new(length);
+            let write = async move {
+                for piece in [&b"123"[..], b"", b"4567890"] {
+                    assert!(to.write(Bytes::from_static(piece)).await);
+                }
+                to.end().await;
+            };
+            let ((), (all, whole)) = tokio::join!(write, taken(body, &ended));
+            assert_eq!((&all[..], whole, ended.get()), (&b"1234567890"[..], true, Some(true)), "{length:?}");
+        }
+    }
+
+    #[tokio::test]
+    async fn who_takes_no_more_is_told_to_the_writer_and_counts_as_no_end() {
+        let (to, mut body) = Coming::new(Some(10));
+        let ended = Rc::new(Cell::new(None));
+        let told = ended.clone();
+        body.at_end(move |whole| told.set(Some(whole)));
+        drop(body);
+        assert!(!to.write(Bytes::from_static(b"1")).await);
+        assert_eq!(ended.get(), Some(false));
+    }
+
+    #[tokio::test]
+    async fn a_writer_waits_for_a_client_that_takes_nothing() {
+        let (to, _body) = Coming::new(None);
+        let mut written = 0;
+        loop {
+            let mut write = std::pin::pin!(to.write(Bytes::from_static(b"x")));
+            let is_ready =
+                std::future::poll_fn(|context| Poll::Ready(write.as_mut().poll(context).is_ready()));
+            if !is_ready.await {
+                break;
+            }
+            written += 1;
+        }
+        assert_eq!(written, WAITING);
+    }
+}
--- a/crates/brassport/src/clients.rs
+++ b/crates/brassport/src/clients.rs
@@ -1,11 +1,13 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
-use crate::backends::{Backends, Message, BODY_LIMIT};
+use crate::backends::{Backends, Message};
+use crate::bodies::pace::Pace;
+use crate::bodies::{read_whole, Answer, Problem, HELD_LIMIT};
 use crate::clock::Clock;
 use crate::config::Assumed;
 use crate::connections::{ClientConnection, Connections, Stage, Wire};
 use crate::date::DateHeader;
-use crate::door::{Answer, Door};
+use crate::door::{Answer as Verdict, Door};
 use crate::mutants::mutant;
 use crate::network::{Listener, Network};
 use crate::run::handover::links::{HandOver, Links};
@@ -14,7 +16,6 @@
 use crate::run::metrics::{Ended, Life};
 use crate::run::terms::Terms;
 use crate::shutdown::{Phase, Shutdown};
-use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -31,7 +32,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::Poll;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
 
@@ -181,13 +182,23 @@
             let response = if crowded {
                 Err(refusal(context.terms().settings().max_retry_after))
             } else {
-                answer(&context, request, client.asking_until(), &mut life).await
+                answer(&context, request, &client, &mut life).await
             };
             client.stage(if response.is_err() { Stage::Last } else { Stage::Idle });
             let last =
                 response.is_err() || context.shutdown.phase() != Phase::Serving || context.links.is_given();
             let (Ok(mut response) | Err(mut response)) = response;
-            if let Some(life) = &mut life {
+            if let Answer::Coming(coming) = response.body_mut() {
+                // It is under way until its last byte is taken.
+                let client = client.clone();
+                client.stage(Stage::Open);
+                coming.at_end(move |whole| {
+                    if let Some(life) = &mut life {
+                        life.end(if whole { Ended::Completed } else { Ended::Failed });
+                    }
+                    client.stage(if last { Stage::Last } else { Stage::Idle });
+                });
+            } else if let Some(life) = &mut life {
                 life.end(Ended::from(response.status()));
             }
             if last {
@@ -250,33 +261,36 @@
     context.links.is_given() && client.is_quiet()
 }
 
-/// The answer to a request; an error if its connection must not be used again. `asked_by` is when all of the
-/// request must have come.
+/// The answer to a request; an error if its connection must not be used again.
 async fn answer<C: Clock, N: Network>(
     context: &Context<C, N>,
     request: Request<Incoming>,
-    asked_by: Instant,
+    client: &ClientConnection<C>,
     life: &mut Option<Life>,
-) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
-    let came = context.clock.now();
-    // Guards against a request hidden in another's body: hyper takes out a Content-Length that stands beside
-    // a Transfer-Encoding, so that nobody behind it can tell. No client here has need of the latter.
-    if request.headers().contains_key(header::TRANSFER_ENCODING) {
-        return Err(text(StatusCode::BAD_REQUEST, "Transfer-Encoding is not taken"));
+) -> Result<Response<Answer>, Response<Answer>> {
+    // Guards against a request hidden in another's body (RFC 9112, section 6.3): hyper takes out a Content-Length that
+    // stands beside a Transfer-Encoding, and looks at the last coding alone.
+    let mut codings = request.headers().get_all(header::TRANSFER_ENCODING).iter();
+    if let Some(coding) = codings.next() {
+        let chunked = coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked");
+        if !chunked || codings.next().is_some() || !client.came_without(b"content-length") {
+            return Err(text(StatusCode::BAD_REQUEST, "Transfer-Encoding beside something else"));
+        }
     }
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
         let up = context.shutdown.phase() == Phase::Serving && context.backends.any_ready();
         return Ok(text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
     }
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let terms = context.terms();
     let asked = check(&head, context, &terms).map_err(|problem| text(StatusCode::BAD_REQUEST, problem))?;
-    // Guards against bodies that fill the memory: the length is known before the first byte.
-    let length = body.size_hint().upper().and_then(|length| usize::try_from(length).ok());
-    let length = length.filter(|length| *length <= BODY_LIMIT);
-    let length = length.ok_or_else(|| text(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"))?;
-    let room = context.bodies.try_acquire_many(length as u32);
+    // Guards against bodies that fill the memory: what may come is set aside before the first byte.
+    let most = body.size_hint().upper().unwrap_or(HELD_LIMIT as u64);
+    if most > HELD_LIMIT as u64 {
+        return Err(too_long());
+    }
     let most_wait = terms.settings().max_retry_after;
+    let room = context.bodies.try_acquire_many(most as u32);
     let room = room.map_err(|_| refusal(most_wait))?;
     let _room = if mutant!(LeakBody) {
         room.forget();
@@ -284,11 +298,14 @@
     } else {
         Some(room)
     };
-    let body = match context.clock.timeout_at(asked_by, body.collect()).await {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(_)) => return Err(text(StatusCode::BAD_REQUEST, "the body is broken")),
-        None => return Err(text(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
+    let mut pace = Pace::new(client.waited());
+    let body = match read_whole(&context.clock, &mut body, most as usize, &mut pace).await {
+        Ok(body) => body,
+        Err(Problem::Broken) => return Err(text(StatusCode::BAD_REQUEST, "the body is broken")),
+        Err(Problem::TooLong) => return Err(too_long()),
+        Err(Problem::TooSlow) => return Err(text(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
     };
+    let came = context.clock.now();
     if let Some(life) = life {
         life.taken();
     }
@@ -304,15 +321,15 @@
         return Err(text(StatusCode::CONFLICT, "a request of this id is open"));
     };
     Ok(match ticket.answer(deadline).await {
-        Answer::Served(served) => {
+        Verdict::Served(served) => {
             let (head, body) = served.into_parts();
-            let mut response = Response::new(Full::new(body));
+            let mut response = Response::new(body);
             *response.headers_mut() = pass_on(head.headers);
             response
         }
-        Answer::Refused(wait) => refusal(wait),
-        Answer::Failed if mutant!(RefuseAfterMayHaveRun) => refusal(0.0),
-        Answer::Failed => text(StatusCode::GATEWAY_TIMEOUT, "no answer of a backend"),
+        Verdict::Refused(wait) => refusal(wait),
+        Verdict::Failed if mutant!(RefuseAfterMayHaveRun) => refusal(0.0),
+        Verdict::Failed => text(StatusCode::GATEWAY_TIMEOUT, "no answer of a backend"),
     })
 }
 
@@ -328,14 +345,18 @@
     named.or_else(|| path.split('/').nth(1).filter(|_| by_path))
 }
 
-fn text(status: StatusCode, line: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(line.as_bytes())));
+fn too_long() -> Response<Answer> {
+    text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
+}
+
+fn text(status: StatusCode, line: &'static str) -> Response<Answer> {
+    let mut response = Response::new(Bytes::from_static(line.as_bytes()).into());
     *response.status_mut() = status;
     response
 }
 
 /// A refusal, with advice on when to come back if there is any, in milliseconds.
-fn refusal(wait: f64) -> Response<Full<Bytes>> {
+fn refusal(wait: f64) -> Response<Answer> {
     let mut response = text(StatusCode::TOO_MANY_REQUESTS, "");
     if wait > 0.0 {
         if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", wait / 1000.0)) {
--- a/crates/brassport/src/connection.rs
+++ b/crates/brassport/src/connection.rs
@@ -1,8 +1,9 @@
 //! One HTTP/1.1 connection to a peer. Whoever holds it drives it: no task of its own stands behind it, so
 //! dropping it has closed the socket.
 
+use crate::bodies::Outgoing;
 use crate::mutants::mutant;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -26,11 +27,11 @@
 }
 
 /// What hyper has to be polled for.
-type Driver<S> = http1::Connection<TokioIo<S>, Full<Bytes>>;
+type Driver<S> = http1::Connection<TokioIo<S>, Outgoing>;
 
 /// A connection over a stream of the network's.
 pub struct Connection<S: AsyncRead + AsyncWrite + Unpin + 'static> {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     /// `None` once it is over.
     driver: Option<Driver<S>>,
 }
@@ -54,10 +55,18 @@
     /// There is no whole answer; how much of the request may have been written.
     pub async fn exchange(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<Outgoing>>,
         most: usize,
     ) -> Result<Response<Bytes>, Failure> {
         let (head, body) = self.begin(request).await?.into_parts();
+        Ok(Response::from_parts(head, self.collect(body, most).await?))
+    }
+
+    /// The whole body of an answer that has begun, of `most` bytes at the most.
+    ///
+    /// # Errors
+    /// The body was cut short, or is longer.
+    pub async fn collect(&mut self, body: Incoming, most: usize) -> Result<Bytes, Failure> {
         let driver = &mut self.driver;
         if body.size_hint().lower() > most as u64 {
             return Err(Failure::Broken);
@@ -66,22 +75,24 @@
         if mutant!(ReleaseHalfRead) {
             let first = poll_fn(|context| Poll::Ready(collected.as_mut().poll(context))).await;
             return match first {
-                Poll::Ready(Ok(body)) => Ok(Response::from_parts(head, body.to_bytes())),
-                _ => Ok(Response::from_parts(head, Bytes::new())),
+                Poll::Ready(Ok(body)) => Ok(body.to_bytes()),
+                _ => Ok(Bytes::new()),
             };
         }
-        let body = collected.await;
         // Guards against serving a body that was cut short: an error of the body is a broken connection.
-        let body = body.map_err(|_| Failure::Broken)?.to_bytes();
-        Ok(Response::from_parts(head, body))
+        Ok(collected.await.map_err(|_| Failure::Broken)?.to_bytes())
     }
 
     /// Sends one request and waits for the head of its answer.
     ///
     /// # Errors
     /// As [`exchange`](Connection::exchange).
-    pub async fn begin(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+    pub async fn begin(
+        &mut self,
+        request: Request<impl Into<Outgoing>>,
+    ) -> Result<Response<Incoming>, Failure> {
         let Connection { sender, driver } = self;
+        let request = request.map(Into::into);
         // hyper hands a request back only if it never began to write it.
         let answer = sender.try_send_request(request);
         drive(driver, answer).await.map_err(|mut error| match error.take_message() {
--- a/crates/brassport/src/connections.rs
+++ b/crates/brassport/src/connections.rs
@@ -23,6 +23,12 @@
 const LEAST_IDLE: Duration = Duration::from_millis(300);
 /// A client that has sent nothing for that long is not about to.
 const SHY: Duration = Duration::from_millis(100);
+/// How long a client may take nothing of an answer.
+const STANDSTILL: Duration = Duration::from_secs(15);
+/// Most of a head that is looked at.
+const HEAD_LIMIT: usize = 16 * 1024;
+/// Room for the next one that is kept.
+const HEAD_KEPT: usize = 1024;
 /// How long what a client is still sending is read, so that it finds the answer it was given before.
 const LINGER: Duration = Duration::from_millis(2000);
 
@@ -50,8 +56,11 @@
     /// Requests so far.
     asked: Cell<u32>,
     dismiss: Notify,
-    /// Whether bytes of an answer wait to be written.
+    /// Whether bytes of an answer wait to be written, and when some were taken last.
     unwritten: Cell<bool>,
+    taken: Cell<Instant>,
+    /// What has come of a request's head, as it came.
+    head: RefCell<Vec<u8>>,
 }
 
 impl State {
@@ -65,6 +74,10 @@
             Stage::Idle if many && self.asked.get() <= 1 => LEAST_IDLE,
             Stage::Idle if many => LONG_IDLE,
             Stage::Idle | Stage::Last => IDLE,
+            // Guards against clients that ask for long answers and take nothing.
+            Stage::Open if self.unwritten.get() => {
+                return now.saturating_duration_since(self.taken.get()) >= STANDSTILL
+            }
             Stage::Open | Stage::Leaving => return false,
         };
         now.saturating_duration_since(self.since.get()) >= most
@@ -93,6 +106,8 @@
             asked: Cell::new(0),
             dismiss: Notify::new(),
             unwritten: Cell::new(false),
+            taken: Cell::new(self.clock.now()),
+            head: RefCell::default(),
         });
         self.all.borrow_mut().insert(number, state.clone());
         ClientConnection { all: self.clone(), number, state }
@@ -164,6 +179,11 @@
         if stage == Stage::Open {
             self.state.asked.set(self.state.asked.get().saturating_add(1));
         }
+        if stage == Stage::Idle {
+            let head = &mut *self.state.head.borrow_mut();
+            head.clear();
+            head.shrink_to(HEAD_KEPT);
+        }
         self.state.stage.set(stage);
     }
     pub fn at(&self) -> Stage {
@@ -174,6 +194,11 @@
         self.state.asked.set(asked);
         self.stage(Stage::Idle);
     }
+    fn took(&self, written: &Poll<io::Result<usize>>) {
+        if written.is_ready() {
+            self.state.taken.set(self.all.clock.now());
+        }
+    }
     /// How many requests it has had.
     pub fn asked(&self) -> u32 {
         self.state.asked.get()
@@ -182,9 +207,25 @@
     pub fn is_quiet(&self) -> bool {
         matches!(self.at(), Stage::New | Stage::Idle | Stage::Asking) && !self.state.unwritten.get()
     }
-    /// When all of the request that is coming in must be there.
-    pub fn asking_until(&self) -> Instant {
-        self.state.since.get() + ASKING
+    /// Whether the head that came last, as it came, is whole and has no such header: hyper takes some out. Of one that
+    /// came with another in one piece it is not known.
+    pub fn came_without(&self, name: &[u8]) -> bool {
+        let head = self.state.head.take();
+        let mut lines = head.split(|byte| *byte == b'\n').map(|line| line.trim_ascii_end());
+        for line in &mut lines {
+            let named = line.split(|byte| *byte == b':').next().unwrap_or_default();
+            if line.is_empty() {
+                return true;
+            }
+            if named.trim_ascii().eq_ignore_ascii_case(name) {
+                return false;
+            }
+        }
+        false
+    }
+    /// How long the request that is coming in has been waited for.
+    pub fn waited(&self) -> Duration {
+        self.all.clock.now().saturating_duration_since(self.state.since.get())
     }
     /// Waits until the connection is to close. Guards against closing it on a request that came meanwhile.
     pub async fn dismissed(&self) {
@@ -249,8 +290,16 @@
             buffer.put_slice(&self.before.split_to(fits));
             Poll::Ready(Ok(()))
         };
-        if buffer.filled().len() > before && self.connection.at() == Stage::Idle {
-            self.connection.stage(Stage::Asking);
+        if buffer.filled().len() > before {
+            let stage = self.connection.at();
+            if stage == Stage::Idle {
+                self.connection.stage(Stage::Asking);
+            }
+            if matches!(stage, Stage::New | Stage::Idle | Stage::Asking) {
+                let mut head = self.connection.state.head.borrow_mut();
+                let fits = HEAD_LIMIT.saturating_sub(head.len()).min(buffer.filled().len() - before);
+                head.extend_from_slice(&buffer.filled()[before..before + fits]);
+            }
         }
         read
     }
@@ -266,7 +315,9 @@
             let _ = Pin::new(&mut self.stream).poll_write(context, bytes);
         }
         self.connection.state.unwritten.set(true);
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.connection.took(&written);
+        written
     }
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
@@ -274,7 +325,9 @@
         bytes: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.connection.state.unwritten.set(true);
-        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, bytes);
+        self.connection.took(&written);
+        written
     }
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
--- a/crates/brassport/src/discovery.rs
+++ b/crates/brassport/src/discovery.rs
@@ -7,6 +7,7 @@
 use crate::revisions::Revisions;
 use brassport_membership::book::{self, Entry, Report};
 use http_body_util::Full;
+use hyper::body::Bytes;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
@@ -166,7 +167,8 @@
             None => "/v1/servers".to_string(),
             Some(rev) => format!("/v1/servers?after={rev}&wait_ms={}", WAIT.as_millis()),
         };
-        let request = Request::get(path).header(HOST, address.to_string()).body(Full::default()).ok()?;
+        let request =
+            Request::get(path).header(HOST, address.to_string()).body(Full::<Bytes>::default()).ok()?;
         if let Some(open) = connection {
             if !open.is_usable().await {
                 *connection = None;
--- a/crates/brassport/src/door.rs
+++ b/crates/brassport/src/door.rs
@@ -2,6 +2,7 @@
 //! requests in flight, hands events in, and carries actions out in order. It decides nothing.
 
 use crate::backends::{Backends, End, Message};
+use crate::bodies;
 use crate::clock::Clock;
 use crate::hooks::{Hooks, Verdict};
 use crate::local_meter::LocalMeter;
@@ -15,7 +16,6 @@
 use crate::run::metrics::{Figures, ListFigures};
 use crate::run::terms::Terms;
 use brassport_membership::book::{Entry, State};
-use hyper::body::Bytes;
 use hyper::Response;
 use springusher::{
     Action, AttemptEnd, CustomerId, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis,
@@ -30,7 +30,7 @@
 
 /// The final answer to a client.
 pub enum Answer {
-    Served(Response<Bytes>),
+    Served(Response<bodies::Answer>),
     /// Trying again is harmless; after so long, if that is not nought.
     Refused(Millis),
     Failed,
@@ -53,7 +53,10 @@
         ModuleClock { clock, start, start_unix }
     }
     fn now(&self) -> Millis {
-        self.clock.now().saturating_duration_since(self.start).as_secs_f64() * 1000.0
+        self.millis(self.clock.now())
+    }
+    fn millis(&self, at: Instant) -> Millis {
+        at.saturating_duration_since(self.start).as_secs_f64() * 1000.0
     }
     fn instant(&self, at: Millis) -> Instant {
         let since = Duration::try_from_secs_f64(at / 1000.0).unwrap_or_default();
@@ -502,10 +505,15 @@
                 std::future::pending::<()>().await;
             }
         };
-        let End { outcome, mut used, answer } =
-            self.backends.attempt(server, &message, expire_at, cancel, wanted).await;
+        // Whoever waits has the answer from here on: its end is the client's business and the backend's.
+        let pass_on = |answer| {
+            self.inner.borrow_mut().answer(request, Answer::Served(answer));
+            self.handle(Event::Started(request));
+        };
+        let End { outcome, mut used, answer, begun } =
+            self.backends.attempt(server, &message, expire_at, cancel, wanted, pass_on).await;
         let now = self.clock.now();
-        let elapsed = now - sent;
+        let elapsed = begun.map_or(now, |begun| self.clock.millis(begun)) - sent;
         let mut inner = self.inner.borrow_mut();
         if mutant!(LeakInFlight) && inner.requests.get(&request).is_some_and(|flight| flight.answer.is_none())
         {
--- a/crates/brassport/src/lib.rs
+++ b/crates/brassport/src/lib.rs
@@ -24,6 +24,7 @@
 #![forbid(unsafe_code)]
 
 mod backends;
+pub mod bodies;
 mod clients;
 pub mod clock;
 pub mod config;
--- a/crates/springusher-counts/src/lib.rs
+++ b/crates/springusher-counts/src/lib.rs
@@ -5,7 +5,8 @@
 //! what is due, the earliest first; [`Rounds`] goes round a map; [`Store`] fills and is taken from; [`Fading`] counts what is recent, [`Factor`] averages it;
 //! [`MeterClock`] learns which period of a meter a reading tells of; [`Members`] is a set on a ring from which one can be drawn;
 //! [`Returns`] counts how many come again; [`Kinds`] knows the shares of kinds, their answers' times and which go
-//! first; [`Elsewhere`] fades what readings told of others, [`History`] knows what held when;
+//! first; [`Elsewhere`] fades what readings told of others, [`History`] knows what held when; [`Shared`] is a store
+//! that others draw from too;
 //! [`Tally`] says what staff should read of refusals.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -14,13 +15,15 @@
 mod elsewhere;
 mod kinds;
 mod returns;
+mod shared;
 mod tally;
 
 pub use clock::MeterClock;
 pub use elsewhere::{Elsewhere, History};
 pub use kinds::Kinds;
 pub use returns::{chance_of, let_in, Returns};
-pub use tally::Tally;
+pub use shared::{Flow, Shared};
+pub use tally::{health, Tally};
 
 use indexmap::IndexMap;
 use rustc_hash::FxBuildHasher;
--- a/crates/springusher-counts/src/tally.rs
+++ b/crates/springusher-counts/src/tally.rs
@@ -2,6 +2,16 @@
 
 use crate::Millis;
 
+/// What staff should read of a server's failures in a row, of which so many eject it.
+pub fn health(server: u32, was_out: bool, failures: u32, most: u32) -> Option<String> {
+    let text = match (was_out, failures) {
+        (true, 0) => "answers again",
+        (false, failures) if failures == most => "ejected: some failures in a row",
+        _ => return None,
+    };
+    Some(format!("server {server} {text}"))
+}
+
 /// What is reported together.
 const SECOND: Millis = 1000.0;
 
--- a/crates/springusher/src/admission.rs
+++ b/crates/springusher/src/admission.rs
@@ -6,7 +6,9 @@
 
 use crate::interface::*;
 use serde::{Deserialize, Serialize};
-use springusher_counts::{blend, chance_of, let_in, Elsewhere, Fading, History, MeterClock, Returns, Sends};
+use springusher_counts::{
+    blend, chance_of, let_in, Elsewhere, Fading, Flow, History, MeterClock, Returns, Shared,
+};
 
 /// Lowest chance of admission: at nought no answer would bring a reading, and the chance would stay there.
 pub const CHANCE_FLOOR: f64 = 0.01;
@@ -50,14 +52,11 @@
 pub struct Account {
     /// Gateways through which the customer comes.
     spread: f64,
-    /// Content of the global token bucket at `told`: up to there what the meter has told is settled.
-    store: f64,
-    told: Millis,
+    /// The global token bucket: settled up to where the meter has told, with own sends that it may tell of.
+    store: Shared,
     chance: f64,
     chance_set: Millis,
     chances: History,
-    /// Own sends that readings may still tell of.
-    sends: Sends,
     /// Units of own requests.
     heard: Fading,
     /// Evidence of the other gateways; readings come at first as an even share of the quota would bring them.
@@ -111,7 +110,7 @@
             false => account.heard.amount += request.units,
         }
         // Guards against sends beyond the quota between two settings of the chance.
-        if account.content(terms, now) < account.unseen(terms, self.meter.delay()) {
+        if account.store.content(now, account.flow(terms)) < account.unseen(terms, self.meter.delay()) {
             return CHANCE_FLOOR;
         }
         account.chance
@@ -124,7 +123,7 @@
             return;
         }
         let units = used * plan.rate * period / 1000.0;
-        self.meter.learn(now, units, &account.sends);
+        self.meter.learn(now, units, account.store.sends());
         let to = self.meter.told(now);
         if to <= account.read {
             return;
@@ -132,12 +131,11 @@
         account.read = to;
         let again = self.returns.probability();
         let terms = Terms { plan, usual: *usual, again, now };
-        account.advance(terms, to - period);
-        let seconds = (to - account.told).max(0.0) / 1000.0;
-        account.store = (account.store + (1.0 - used) * plan.rate * seconds).clamp(0.0, plan.burst);
-        account.told = account.told.max(to);
+        let flow = account.flow(terms);
+        account.store.advance(to - period, flow);
+        account.store.read(to, used, flow);
         let passed = let_in(account.chances.at(to - period / 2.0).unwrap_or(1.0), again);
-        let elsewhere = units - account.sends.between(to - period, to);
+        let elsewhere = units - account.store.sends().between(to - period, to);
         let reading = (period / 1000.0, elsewhere, elsewhere / passed);
         let before = account.others.learn(now, (plan.rate, RATE_UNITS), reading, LEARN);
         // The part of the estimate that rests on readings of this customer.
@@ -157,12 +155,10 @@
         let (spread, never) = (f64::from(spread.max(1)), f64::MIN);
         Account {
             spread,
-            store: START_STORE * plan.burst,
-            told: born,
+            store: Shared::new(START_STORE * plan.burst, born),
             chance: 1.0,
             chance_set: never,
             chances: History::default(),
-            sends: Sends::default(),
             heard: Fading::new(born),
             others: Elsewhere::new(spread / plan.rate.max(f64::MIN_POSITIVE)),
             read: never,
@@ -173,7 +169,7 @@
     pub fn sent(&mut self, plan: &Plan, units: f64, now: Millis) {
         // Without a rate nothing reads these, and nothing would take them off again.
         if plan.rate > 0.0 {
-            self.sends.push(now, units);
+            self.store.sent(now, units);
         }
     }
 
@@ -191,30 +187,18 @@
     /// Units that other gateways have likely sent in a surge of which no reading tells yet: more, the more
     /// periods it takes until one tells.
     fn unseen(&self, Terms { plan, now, .. }: Terms, delay: f64) -> f64 {
-        let even = plan.rate * (now - self.told) / 1000.0 / self.spread;
-        SURGE * delay * (self.spread - 1.0) * (self.sends.between(self.told, now) - even).max(0.0)
+        SURGE * delay * (self.spread - 1.0) * self.store.beyond(now, plan.rate / self.spread)
     }
 
-    /// Content of the store at a later time: the quota flows in, own sends and others' likely ones flow out.
-    fn content(&self, terms: Terms, at: Millis) -> f64 {
-        let flow = terms.plan.rate - self.elsewhere(terms).0;
-        (self.store + flow * (at - self.told) / 1000.0 - self.sends.between(self.told, at))
-            .clamp(0.0, terms.plan.burst)
-    }
-
-    /// Takes for settled what no reading told of up to then.
-    fn advance(&mut self, terms: Terms, to: Millis) {
-        if to > self.told {
-            self.store = self.content(terms, to);
-            self.told = to;
-        }
+    /// What flows in and out of the store: the quota, and what the others likely send.
+    fn flow(&self, terms: Terms) -> Flow {
+        Flow { rate: terms.plan.rate, elsewhere: self.elsewhere(terms).0, size: terms.plan.burst }
     }
 
     /// Settles, and drops, what is too old for a reading to tell of.
     fn settle(&mut self, terms: Terms, reach: Millis) {
-        let keep = terms.now - reach;
-        self.advance(terms, keep);
-        self.sends.drop_before(keep);
+        let (keep, flow) = (terms.now - reach, self.flow(terms));
+        self.store.settle(keep, flow);
         self.chances.drop_before(keep);
     }
 
@@ -223,7 +207,7 @@
         let offered = self.heard.rate(RATE_UNITS / plan.rate) + self.elsewhere(terms).1;
         // The store is let out over some readings, so that the coin, by worth, refuses before it is empty.
         let span = RELEASE * period / 1000.0;
-        let allowed = plan.rate + self.content(terms, now) / span.max(self.others.gap());
+        let allowed = plan.rate + self.store.content(now, self.flow(terms)) / span.max(self.others.gap());
         let part = if offered > allowed { allowed / offered } else { 1.0 };
         self.chance = chance_of(part, terms.again).max(CHANCE_FLOOR);
         self.chance_set = now;
--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -6,7 +6,7 @@
 use crate::interface::*;
 use oorandom::Rand64;
 use serde::{Deserialize, Serialize};
-use springusher_counts::{Agenda, Factor, InFlight, Members, Own, Ticket};
+use springusher_counts::{health, Agenda, Factor, InFlight, Members, Own, Ticket};
 use std::collections::VecDeque;
 
 /// Most warm servers that a few gateways all weigh, and how many are drawn of more unless an idle one comes
@@ -145,9 +145,12 @@
 
     /// Notes an attempt that is sent. Returns what the server is, and what the attempt's end is told with.
     pub fn send(&mut self, now: Millis, to: ServerId) -> Option<(ServerEntry, Ticket)> {
-        let server = self.servers.get_mut(&to)?;
-        server.out.push_back(now);
-        Some((server.entry, self.in_flight.begin(now)))
+        Some((self.servers.get(&to)?.entry, self.in_flight.begin(now)))
+    }
+
+    /// Notes that a server has all of an attempt and works on it.
+    pub fn begin(&mut self, now: Millis, at: ServerId) {
+        self.servers.get_mut(&at).into_iter().for_each(|server| server.out.push_back(now));
     }
 
     /// Notes the end of an attempt.
@@ -211,12 +214,7 @@
             let doublings = (server.strikes - STRIKES).min(4);
             server.ejected_until = now + EJECTED * mean.1 * f64::from(1u32 << doublings);
         }
-        let text = match (before >= STRIKES, server.strikes) {
-            (true, 0) => "answers again",
-            (false, STRIKES) => "ejected: some failures in a row",
-            _ => return None,
-        };
-        Some(format!("server {id} {text}"))
+        health(id, before >= STRIKES, server.strikes, STRIKES)
     }
 
     /// Picks the server with the least expected wait, as far as own work and answers tell.
--- a/crates/springusher/src/control.rs
+++ b/crates/springusher/src/control.rs
@@ -91,7 +91,9 @@
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
         match event {
-            Event::Request(request) => self.arrive(request, actions),
+            Event::Request(request) => self.arrive(request, false, actions),
+            Event::Upload(request) => self.arrive(request, true, actions),
+            Event::Whole(request) => self.whole(request, actions),
             Event::AttemptEnd(end) => self.attempt_ended(end, actions),
             Event::Started(request) | Event::ClientGone(request) => self.close(request),
             Event::Timer(token) if token % 4 == LIST => actions.push(Action::FollowServers),
@@ -118,17 +120,7 @@
         self.settings = settings;
     }
 
-    /// Most attempts that it would have out now, and the share of what the quotas admit that it has room for.
-    pub fn room(&self) -> (f64, f64) {
-        (self.room.limit, self.room.part)
-    }
-
-    /// Whether a server that takes requests is left out at this moment, for its failures.
-    pub fn avoids(&self, server: ServerId, now: Millis) -> bool {
-        self.fleet.is_ejected(server, now)
-    }
-
-    fn arrive(&mut self, request: Request, actions: &mut Vec<Action>) {
+    fn arrive(&mut self, request: Request, uploading: bool, actions: &mut Vec<Action>) {
         let expires_in = if request.expires_in.is_finite() { request.expires_in.max(0.0) } else { 0.0 };
         if self.requests.contains_key(&request.id) {
             return;
@@ -136,7 +128,7 @@
         if !self.settings.know(&request) {
             return actions.push(Action::Refuse { request: request.id, retry_after: 0.0 });
         }
-        self.open(request, expires_in, actions);
+        self.open(Request { expires_in, ..request }, uploading, actions);
         self.sweep(actions);
         let waited = self.waited(&request, expires_in);
         if let Some(open) = self.requests.get_mut(&request.id) {
--- a/crates/springusher/src/heritage.rs
+++ b/crates/springusher/src/heritage.rs
@@ -10,7 +10,7 @@
 use std::borrow::Cow;
 
 /// The form of the text. One that is of another form is not read: to be raised with every change of what is kept.
-const FORM: u32 = 1;
+const FORM: u32 = 2;
 
 #[derive(Serialize, Deserialize)]
 struct Heritage<'a> {
--- a/crates/springusher/src/interface.rs
+++ b/crates/springusher/src/interface.rs
@@ -388,6 +388,10 @@
     },
     /// A request came in; exactly one final answer is owed.
     Request(Request),
+    /// A request came in whose body is still coming, and is sent on as it comes: it has one attempt.
+    Upload(Request),
+    /// All of such a request has come and gone on: its time begins.
+    Whole(RequestId),
     /// An attempt ended.
     AttemptEnd(AttemptEnd),
     /// A streamed answer began; the attempt is the client's from here.
--- a/crates/springusher/src/lib.rs
+++ b/crates/springusher/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod interface;
 mod life;
 mod room;
+pub mod views;
 pub mod wire;
 
 pub use control::Gateway;
--- a/crates/springusher/src/life.rs
+++ b/crates/springusher/src/life.rs
@@ -32,6 +32,8 @@
     /// Its class as it was when it came, and most attempts that it may have.
     pub class: Class,
     most: u32,
+    /// Whether some of it is still coming: it has no deadline yet, and no server has begun it.
+    uploading: bool,
     /// When the client's first try came, as far as it shows.
     pub arrived: Millis,
     pub attempts: Vec<Attempt>,
@@ -53,16 +55,35 @@
 
 impl Gateway {
     /// Takes up a request and sees to its deadline.
-    pub(crate) fn open(&mut self, request: Request, expires_in: Millis, actions: &mut Vec<Action>) {
-        let (class, most) = (self.settings.classes[request.class], self.settings.max_attempts);
-        let (arrived, attempts) = (self.now, Vec::new());
-        let open = Open { request, class, most, arrived, attempts, held: false, done: false };
+    pub(crate) fn open(&mut self, request: Request, uploading: bool, actions: &mut Vec<Action>) {
+        let (class, arrived, attempts) = (self.settings.classes[request.class], self.now, Vec::new());
+        let most = if uploading { 1 } else { self.settings.max_attempts };
+        let open = Open { request, class, most, uploading, arrived, attempts, held: false, done: false };
         self.requests.insert(request.id, open);
+        if !uploading {
+            self.begin(&request, actions);
+        }
+    }
+
+    fn begin(&self, request: &Request, actions: &mut Vec<Action>) {
         // Answer before the client gives up; two calls of the host are the margin for the way back.
-        let at = self.now + (expires_in - 2.0 * self.settings.tick).max(0.0);
+        let at = self.now + (request.expires_in - 2.0 * self.settings.tick).max(0.0);
         actions.push(Action::Timer { at, token: (request.id << 2) + DEADLINE });
     }
 
+    /// All of a request has come: its time begins, and its server's work on it.
+    pub(crate) fn whole(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(open) = self.requests.get_mut(&id).filter(|open| open.uploading) else { return };
+        (open.uploading, open.arrived) = (false, self.now);
+        if let Some(attempt) = open.attempts.last_mut().filter(|attempt| attempt.out) {
+            attempt.sent = self.now;
+            self.fleet.begin(self.now, attempt.to.id);
+            actions.push(Action::Timer { at: self.now + LATE * open.class.aim, token: (id << 2) + REVIEW });
+        }
+        let request = open.request;
+        self.begin(&request, actions);
+    }
+
     /// A timer of a request went off.
     pub(crate) fn timer(&mut self, token: u64, actions: &mut Vec<Action>) {
         if token % 4 == DEADLINE {
@@ -102,6 +123,9 @@
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some((to, ticket)) = self.fleet.send(self.now, to) else { return };
+        if !open.uploading {
+            self.fleet.begin(self.now, to.id);
+        }
         open.held = false;
         open.attempts.push(Attempt { to, sent: self.now, ticket, out: true, may_have_run: true });
         if let Some(customer) = self.customers.get_mut(&open.request.customer) {
@@ -132,7 +156,7 @@
 
     /// An attempt has been out for long, or a request held: tries another server, or gives up in time.
     fn review(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
+        let Some(open) = self.requests.get(&id).filter(|open| !open.done && !open.uploading) else { return };
         let (class, due) = (open.request.class, self.now - LATE * open.class.aim);
         let is_late = |last: &Attempt| last.out && last.sent <= due && self.fleet.is_telling(last.to.id);
         if open.attempts.last().is_some_and(is_late) {
