Send long bodies on as they come, their time from the last byte

Change: bodies/upload.rs: after 64 KiB the module is asked and the rest goes to its server as it comes; Event::Whole starts its time and its place in the server's queue. An upload has one attempt; broken before its last byte it never ran.

--- a/crates/brassport/src/backends.rs
+++ b/crates/brassport/src/backends.rs
@@ -1,8 +1,10 @@
 //! The backends: where they are, the idle connections to them, and the attempts.
 
-use crate::bodies::{Answer, Coming, Pieces, HELD_LIMIT, LIMIT};
+use crate::bodies::upload::Progress;
+use crate::bodies::{Answer, Coming, Outgoing, Pieces, HELD_LIMIT, LIMIT};
 use crate::clock::Clock;
 use crate::connection::{Connection, Failure};
+use crate::due::Due;
 use crate::mutants::mutant;
 use crate::network::Network;
 use crate::run::metrics::Figures;
@@ -39,7 +41,21 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Carried,
+}
+
+/// The body of a request.
+pub enum Carried {
+    Whole(Bytes),
+    Coming(Uploading),
+}
+
+/// One that is still coming: it goes on once.
+pub struct Uploading {
+    pub body: RefCell<Option<Outgoing>>,
+    pub progress: Rc<Progress>,
+    /// How long its client waits once all of it has come.
+    pub patience: Duration,
 }
 
 /// How an attempt ended.
@@ -171,14 +187,14 @@
         &self,
         id: ServerId,
         message: &Message,
-        expire_at: Instant,
+        due: &Due,
         cancel: impl Future,
         wanted: impl Fn() -> bool,
         pass_on: impl FnOnce(Response<Answer>),
     ) -> End {
         let (written, begun) = (Cell::new(false), Cell::new(None));
-        let progress = Progress { written: &written, begun: &begun };
-        let exchange = self.exchange(id, message, expire_at, wanted, pass_on, progress);
+        let marks = Marks { written: &written, begun: &begun };
+        let exchange = self.exchange(id, message, due, wanted, pass_on, marks);
         #[cfg(not(feature = "mutants"))]
         let mut exchange = std::pin::pin!(exchange);
         // On the heap, for the mutant that keeps it.
@@ -190,7 +206,8 @@
             biased;
             _ = cancel => Outcome::Cancelled,
             end = &mut exchange => return end,
-            () = self.clock.sleep_until(expire_at) => Outcome::TimedOut,
+            () = due.over(&self.clock) => Outcome::TimedOut,
+            () = message.stands_still(&self.clock) => Outcome::TimedOut,
         };
         if begun.get().is_some() {
             return exchange.await;
@@ -199,7 +216,7 @@
         if mutant!(KeepTimedOutAttempt) && ended == Outcome::TimedOut {
             std::mem::forget(exchange);
         }
-        match (written.get(), ended) {
+        match (written.get() && message.is_whole(), ended) {
             (true, ended) => ended.into(),
             (false, Outcome::Cancelled) => Outcome::Moot.into(),
             (false, _) => Outcome::NoConnection.into(),
@@ -210,10 +227,10 @@
         &self,
         id: ServerId,
         message: &Message,
-        expire_at: Instant,
+        due: &Due,
         wanted: impl Fn() -> bool,
         pass_on: impl FnOnce(Response<Answer>),
-        progress: Progress<'_>,
+        marks: Marks<'_>,
     ) -> End {
         let Some(address) = self.ready_at(id) else { return Outcome::Moot.into() };
         let begun = self.clock.now();
@@ -233,15 +250,27 @@
         if self.ready_at(id) != Some(address) || !(wanted() || mutant!(SendBehindAnswer)) {
             return Outcome::Moot.into();
         }
-        progress.written.set(true);
-        let request = message.to_send(expire_at.saturating_duration_since(self.clock.now()));
+        let left = due.at().saturating_duration_since(self.clock.now());
+        // What has gone on can't go on a second time.
+        let Some(request) = message.to_send(left) else { return Outcome::Moot.into() };
+        marks.written.set(true);
+        let is_whole = message.is_whole();
+        if is_whole {
+            self.figures.attempt_written();
+        }
         let answer = match pooled.connection.begin(request).await {
             Ok(answer) => answer,
-            Err(Failure::Unsent) => return Outcome::NoConnection.into(),
+            Err(Failure::Unsent) => {
+                if is_whole {
+                    self.figures.attempt_unwritten();
+                }
+                return Outcome::NoConnection.into();
+            }
+            // It broke before its last byte: it never ran.
+            Err(Failure::Broken) if !message.is_whole() => return Outcome::NoConnection.into(),
             Err(Failure::Broken) if mutant!(RetryAfterReset) => return Outcome::NoConnection.into(),
             Err(Failure::Broken) => return Outcome::Reset.into(),
         };
-        self.figures.attempt_written();
         let (head, body) = answer.into_parts();
         let mut end = judge(&head);
         match self.body(&mut pooled.connection, &head, body).await {
@@ -249,8 +278,8 @@
                 end.answer = (end.outcome == Outcome::Ok).then(|| Response::from_parts(head, bytes.into()));
             }
             Ok(Held::Long(first, rest)) => {
-                progress.begun.set(Some(self.clock.now()));
-                end.begun = progress.begun.get();
+                marks.begun.set(Some(self.clock.now()));
+                end.begun = marks.begun.get();
                 let length = rest.size_hint().exact().map(|left| left + first.len() as u64);
                 let (to, coming) = Coming::new(length);
                 pass_on(Response::from_parts(head, Answer::Coming(coming)));
@@ -376,20 +405,48 @@
 }
 
 impl Message {
-    fn to_send(&self, left: Duration) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// Whether all of it has come and gone on, or is at hand.
+    pub fn is_whole(&self) -> bool {
+        match &self.body {
+            Carried::Whole(_) => true,
+            Carried::Coming(upload) => upload.progress.whole().is_some(),
+        }
+    }
+
+    /// When the last of it went on, if it went on as it came.
+    pub fn whole_at(&self) -> Option<Instant> {
+        match &self.body {
+            Carried::Whole(_) => None,
+            Carried::Coming(upload) => upload.progress.whole(),
+        }
+    }
+
+    async fn stands_still(&self, clock: &impl Clock) {
+        match &self.body {
+            Carried::Whole(_) => std::future::pending().await,
+            Carried::Coming(upload) => upload.progress.stands_still(clock).await,
+        }
+    }
+
+    /// The request, for a client that waits so long; `None` if it has gone on before and is not at hand.
+    fn to_send(&self, left: Duration) -> Option<Request<Outgoing>> {
+        let (body, left) = match &self.body {
+            Carried::Whole(bytes) => (Full::new(bytes.clone()).into(), left),
+            Carried::Coming(upload) => (upload.body.take()?, upload.patience),
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         if let Ok(left) = HeaderValue::from_str(&format!("{}u", left.as_micros())) {
             request.headers_mut().insert("x-deadline", left);
         }
-        request
+        Some(request)
     }
 }
 
 /// How far an attempt has come.
-struct Progress<'a> {
+struct Marks<'a> {
     /// Whether the request may have been written whole.
     written: &'a Cell<bool>,
     /// When an answer began that is passed on as it comes.
--- a/crates/brassport/src/bodies/mod.rs
+++ b/crates/brassport/src/bodies/mod.rs
@@ -1,6 +1,7 @@
 //! Bodies of messages: held whole while they are short, passed through piece by piece beyond that.
 
 pub mod pace;
+pub mod upload;
 
 use crate::clock::Clock;
 use http_body_util::{BodyExt, Full};
@@ -202,31 +203,38 @@
     TooLong,
 }
 
-/// Reads a body of `most` bytes at the most, as long as it keeps pace.
+/// What has come of a body that is read until it is known whether it is long.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Read {
+    Whole(Bytes),
+    /// The first of it.
+    Long(Bytes),
+}
+
+/// Reads a body to its end, or until more than [`HELD_LIMIT`] has come, as long as it keeps pace.
 ///
 /// # Errors
-/// It broke off, came too slowly or is longer.
-pub async fn read_whole<C: Clock>(
-    clock: &C,
-    body: &mut Incoming,
-    most: usize,
-    pace: &mut Pace,
-) -> Result<Bytes, Problem> {
+/// It broke off, came too slowly or will be too long for anybody.
+pub async fn read<C: Clock>(clock: &C, body: &mut Incoming, pace: &mut Pace) -> Result<Read, Problem> {
+    if body.size_hint().lower() > LIMIT {
+        return Err(Problem::TooLong);
+    }
     let mut first = Bytes::new();
     let mut all = Vec::new();
     loop {
         match next(clock, body, pace).await? {
-            None if all.is_empty() => return Ok(first),
-            None => return Ok(all.into()),
-            Some(bytes) if first.len() + bytes.len() > most || all.len() + bytes.len() > most => {
-                return Err(Problem::TooLong)
-            }
+            None if all.is_empty() => return Ok(Read::Whole(first)),
+            None => return Ok(Read::Whole(all.into())),
+            // Most bodies are one piece, and need no copy.
             Some(bytes) if first.is_empty() && all.is_empty() => first = bytes,
             Some(bytes) => {
                 if all.is_empty() {
                     all.extend_from_slice(&std::mem::take(&mut first));
                 }
                 all.extend_from_slice(&bytes);
+                if all.len() > HELD_LIMIT {
+                    return Ok(Read::Long(all.into()));
+                }
             }
         }
     }
--- a/crates/brassport/src/clients.rs
+++ b/crates/brassport/src/clients.rs
@@ -1,8 +1,9 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
-use crate::backends::{Backends, Message};
+use crate::backends::{Backends, Carried, Message, Uploading};
 use crate::bodies::pace::Pace;
-use crate::bodies::{read_whole, Answer, Problem, HELD_LIMIT};
+use crate::bodies::upload::{Progress, Upload};
+use crate::bodies::{read, Answer, Outgoing, Problem, Read, HELD_LIMIT};
 use crate::clock::Clock;
 use crate::config::Assumed;
 use crate::connections::{ClientConnection, Connections, Stage, Wire};
@@ -178,11 +179,11 @@
         client.stage(Stage::Open);
         let (context, client) = (context.clone(), client.clone());
         async move {
-            let mut life = life(&context, &request);
+            let life = life(&context, &request);
             let response = if crowded {
                 Err(refusal(context.terms().settings().max_retry_after))
             } else {
-                answer(&context, request, &client, &mut life).await
+                answer(&context, request, &client, &life).await
             };
             client.stage(if response.is_err() { Stage::Last } else { Stage::Idle });
             let last =
@@ -193,12 +194,12 @@
                 let client = client.clone();
                 client.stage(Stage::Open);
                 coming.at_end(move |whole| {
-                    if let Some(life) = &mut life {
+                    if let Some(life) = &life {
                         life.end(if whole { Ended::Completed } else { Ended::Failed });
                     }
                     client.stage(if last { Stage::Last } else { Stage::Idle });
                 });
-            } else if let Some(life) = &mut life {
+            } else if let Some(life) = &life {
                 life.end(Ended::from(response.status()));
             }
             if last {
@@ -266,7 +267,7 @@
     context: &Context<C, N>,
     request: Request<Incoming>,
     client: &ClientConnection<C>,
-    life: &mut Option<Life>,
+    life: &Option<Life>,
 ) -> Result<Response<Answer>, Response<Answer>> {
     // Guards against a request hidden in another's body (RFC 9112, section 6.3): hyper takes out a Content-Length that
     // stands beside a Transfer-Encoding, and looks at the last coding alone.
@@ -284,11 +285,8 @@
     let (head, mut body) = request.into_parts();
     let terms = context.terms();
     let asked = check(&head, context, &terms).map_err(|problem| text(StatusCode::BAD_REQUEST, problem))?;
-    // Guards against bodies that fill the memory: what may come is set aside before the first byte.
-    let most = body.size_hint().upper().unwrap_or(HELD_LIMIT as u64);
-    if most > HELD_LIMIT as u64 {
-        return Err(too_long());
-    }
+    // Guards against bodies that fill the memory: what may be held is set aside before the first byte.
+    let most = body.size_hint().upper().map_or(HELD_LIMIT, |most| most.min(HELD_LIMIT as u64) as usize);
     let most_wait = terms.settings().max_retry_after;
     let room = context.bodies.try_acquire_many(most as u32);
     let room = room.map_err(|_| refusal(most_wait))?;
@@ -299,28 +297,45 @@
         Some(room)
     };
     let mut pace = Pace::new(client.waited());
-    let body = match read_whole(&context.clock, &mut body, most as usize, &mut pace).await {
-        Ok(body) => body,
+    let read = match read(&context.clock, &mut body, &mut pace).await {
+        Ok(read) => read,
         Err(Problem::Broken) => return Err(text(StatusCode::BAD_REQUEST, "the body is broken")),
-        Err(Problem::TooLong) => return Err(too_long()),
+        Err(Problem::TooLong) => return Err(text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")),
         Err(Problem::TooSlow) => return Err(text(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
     };
-    let came = context.clock.now();
-    if let Some(life) = life {
+    let patience = if mutant!(ForgetDeadline) { Duration::from_secs(3600) } else { asked.patience };
+    let patience = patience.saturating_sub(MARGIN);
+    let (body, progress) = match read {
+        Read::Whole(bytes) => (Carried::Whole(bytes), None),
+        Read::Long(first) => {
+            let (upload, progress) = Upload::new(context.clock.clone(), first, body, pace);
+            let body = RefCell::new(Some(Outgoing::Coming(Box::pin(upload))));
+            (Carried::Coming(Uploading { body, progress: progress.clone(), patience }), Some(progress))
+        }
+    };
+    if let (Some(life), None) = (&life, &progress) {
         life.taken();
     }
     // Guards against rules for its repeats that its client does not know: the class changed while the body came.
     let effect = |terms: &Terms| terms.settings().classes[asked.request.class].effect;
     if effect(&terms) != effect(&context.terms()) {
-        return Ok(refusal(most_wait));
+        let refusal = refusal(most_wait);
+        return if is_whole(&progress) { Ok(refusal) } else { Err(refusal) };
     }
-    let patience = if mutant!(ForgetDeadline) { Duration::from_secs(3600) } else { asked.patience };
-    let deadline = came + patience.saturating_sub(MARGIN);
     let message = Message { method: head.method, uri: asked.uri, headers: pass_on(head.headers), body };
-    let Some(ticket) = context.door.admit(asked.request, asked.id, message, deadline) else {
+    let Some(ticket) = context.door.admit(asked.request, asked.id, message, patience) else {
         return Err(text(StatusCode::CONFLICT, "a request of this id is open"));
     };
-    Ok(match ticket.answer(deadline).await {
+    if let Some(progress) = &progress {
+        let (begins, taken) = (ticket.at_whole(), life.as_ref().map(Life::at_taken));
+        let figures = context.figures.clone();
+        progress.at_whole(move || {
+            figures.attempt_written();
+            taken.into_iter().for_each(|taken| taken());
+            begins();
+        });
+    }
+    let response = match ticket.answer().await {
         Verdict::Served(served) => {
             let (head, body) = served.into_parts();
             let mut response = Response::new(body);
@@ -330,7 +345,17 @@
         Verdict::Refused(wait) => refusal(wait),
         Verdict::Failed if mutant!(RefuseAfterMayHaveRun) => refusal(0.0),
         Verdict::Failed => text(StatusCode::GATEWAY_TIMEOUT, "no answer of a backend"),
-    })
+    };
+    if is_whole(&progress) {
+        Ok(response)
+    } else {
+        Err(response)
+    }
+}
+
+/// Whether all of a request has come. An answer before that is the last on its connection: the rest of the body follows.
+fn is_whole(progress: &Option<Rc<Progress>>) -> bool {
+    progress.as_ref().is_none_or(|progress| progress.whole().is_some())
 }
 
 /// The request for the figures, if it is of a class.
@@ -345,10 +370,6 @@
     named.or_else(|| path.split('/').nth(1).filter(|_| by_path))
 }
 
-fn too_long() -> Response<Answer> {
-    text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
-}
-
 fn text(status: StatusCode, line: &'static str) -> Response<Answer> {
     let mut response = Response::new(Bytes::from_static(line.as_bytes()).into());
     *response.status_mut() = status;
--- a/crates/brassport/src/door.rs
+++ b/crates/brassport/src/door.rs
@@ -4,6 +4,7 @@
 use crate::backends::{Backends, End, Message};
 use crate::bodies;
 use crate::clock::Clock;
+use crate::due::Due;
 use crate::hooks::{Hooks, Verdict};
 use crate::local_meter::LocalMeter;
 use crate::log;
@@ -28,6 +29,9 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, Notify};
 
+/// Until when a request that is still coming is due: it ends by its pace or by standing still before that.
+const FAR: Duration = Duration::from_secs(24 * 3600);
+
 /// The final answer to a client.
 pub enum Answer {
     Served(Response<bodies::Answer>),
@@ -73,8 +77,8 @@
     /// Its client's name for it.
     name: String,
     message: Rc<Message>,
-    /// When its client gives up.
-    deadline: Instant,
+    /// When its client gives up; for one that is still coming far away.
+    due: Rc<Due>,
     /// `None` once it is answered or its client has gone.
     answer: Option<oneshot::Sender<Answer>>,
     /// To call each attempt off; `None` once it has ended.
@@ -149,14 +153,15 @@
         }))
     }
 
-    /// Takes a request in; `expires_in` and the id are filled in here. Guards against a second effect:
-    /// `None` if one of the same name is in flight, until the last of its attempts has ended.
+    /// Takes a request in; `expires_in` and the id are filled in here. Its client waits for so long, from now or from
+    /// when all of it has come. Guards against a second effect: `None` if one of the same name is in flight, until the
+    /// last of its attempts has ended.
     pub fn admit(
         self: &Rc<Self>,
         mut request: Request,
         name: String,
         message: Message,
-        deadline: Instant,
+        patience: Duration,
     ) -> Option<Ticket<C, N>> {
         let (answer, receiver) = oneshot::channel();
         let mut inner = self.inner.borrow_mut();
@@ -168,18 +173,29 @@
             request.spread = 1;
         }
         request.id = inner.last;
-        request.expires_in =
-            deadline.saturating_duration_since(self.clock.clock.now()).as_secs_f64() * 1000.0;
+        request.expires_in = patience.as_secs_f64() * 1000.0;
+        let uploading = !message.is_whole();
+        let due = Rc::new(Due::new(self.clock.clock.now() + if uploading { FAR } else { patience }));
         let message = Rc::new(message);
         if let Some(hooks) = &inner.hooks {
             hooks.admitted(&name, &request);
         }
-        let flight =
-            InFlight { request, name, message, deadline, answer: Some(answer), attempts: Vec::new() };
+        let (answer, attempts) = (Some(answer), Vec::new());
+        let flight = InFlight { request, name, message, due: due.clone(), answer, attempts };
         inner.requests.insert(request.id, flight);
         drop(inner);
-        self.handle(Event::Request(request));
-        Some(Ticket { door: self.clone(), id: request.id, answer: receiver })
+        self.handle(if uploading { Event::Upload(request) } else { Event::Request(request) });
+        Some(Ticket { door: self.clone(), id: request.id, due, answer: receiver })
+    }
+
+    /// All of a request has come and gone on: its time begins.
+    fn whole(self: &Rc<Self>, request: RequestId) {
+        if let Some(flight) = self.inner.borrow().requests.get(&request) {
+            let patience =
+                Duration::try_from_secs_f64(flight.request.expires_in / 1000.0).unwrap_or_default();
+            flight.due.set(self.clock.clock.now() + patience);
+        }
+        self.handle(Event::Whole(request));
     }
 
     /// The plan that the host knows of this customer.
@@ -435,19 +451,15 @@
         match action {
             Action::Send { request, server, expire_at } => {
                 let Some(flight) = inner.requests.get_mut(&request) else { return };
-                let expire_at =
-                    expire_at.map_or(flight.deadline, |at| self.clock.instant(at).min(flight.deadline));
+                let due = match expire_at.map(|at| self.clock.instant(at)) {
+                    Some(at) if at < flight.due.at() => Rc::new(Due::new(at)),
+                    _ => flight.due.clone(),
+                };
                 let (cancel, cancelled) = oneshot::channel();
                 let number = flight.attempts.len() as u8;
                 flight.attempts.push(Some(cancel));
-                let attempt = self.clone().attempt(
-                    request,
-                    number,
-                    server,
-                    flight.message.clone(),
-                    expire_at,
-                    cancelled,
-                );
+                let attempt =
+                    self.clone().attempt(request, number, server, flight.message.clone(), due, cancelled);
                 tokio::task::spawn_local(attempt);
             }
             Action::Refuse { request, retry_after } => inner.answer(request, Answer::Refused(retry_after)),
@@ -478,7 +490,7 @@
         attempt: u8,
         server: ServerId,
         message: Rc<Message>,
-        expire_at: Instant,
+        due: Rc<Due>,
         cancelled: oneshot::Receiver<()>,
     ) {
         let sent = self.clock.now();
@@ -511,8 +523,10 @@
             self.handle(Event::Started(request));
         };
         let End { outcome, mut used, answer, begun } =
-            self.backends.attempt(server, &message, expire_at, cancel, wanted, pass_on).await;
+            self.backends.attempt(server, &message, &due, cancel, wanted, pass_on).await;
         let now = self.clock.now();
+        // The server's work begins with the last byte that it gets.
+        let sent = message.whole_at().map_or(sent, |whole| self.clock.millis(whole));
         let elapsed = begun.map_or(now, |begun| self.clock.millis(begun)) - sent;
         let mut inner = self.inner.borrow_mut();
         if mutant!(LeakInFlight) && inner.requests.get(&request).is_some_and(|flight| flight.answer.is_none())
@@ -601,13 +615,22 @@
 pub struct Ticket<C: Clock, N: Network> {
     door: Rc<Door<C, N>>,
     id: RequestId,
+    due: Rc<Due>,
     answer: oneshot::Receiver<Answer>,
 }
 
 impl<C: Clock, N: Network> Ticket<C, N> {
-    /// The final answer. Guards against a request that nothing answers: it fails at `deadline`.
-    pub async fn answer(mut self, deadline: Instant) -> Answer {
-        let late = self.door.clock.clock.sleep_until(deadline);
+    /// What is to be done once all of the request has come and gone on.
+    pub fn at_whole(&self) -> impl FnOnce() + 'static {
+        let (door, id) = (self.door.clone(), self.id);
+        move || door.whole(id)
+    }
+
+    /// The final answer. Guards against a request that nothing answers: it fails when it is due.
+    pub async fn answer(mut self) -> Answer {
+        let due = self.due.clone();
+        let door = self.door.clone();
+        let late = due.over(&door.clock.clock);
         tokio::select! {
             biased;
             answer = &mut self.answer => answer.unwrap_or(Answer::Failed),
--- a/crates/brassport/src/lib.rs
+++ b/crates/brassport/src/lib.rs
@@ -33,6 +33,7 @@
 mod date;
 pub mod discovery;
 mod door;
+mod due;
 pub mod hooks;
 mod local_meter;
 pub mod log;
--- a/crates/brassport/src/run/metrics.rs
+++ b/crates/brassport/src/run/metrics.rs
@@ -79,7 +79,7 @@
             Some(counts) => counts.clone(),
             None => classes.entry(class.to_string()).or_default().clone(),
         };
-        Life { counts, stage: Stage::Coming }
+        Life { state: Rc::new(State { counts, stage: Cell::new(Stage::Coming) }) }
     }
 
     /// An attempt was written whole to a node.
@@ -87,6 +87,11 @@
         add_one(&self.attempts);
     }
 
+    /// It turned out that nothing of one was.
+    pub fn attempt_unwritten(&self) {
+        self.attempts.set(self.attempts.get() - 1);
+    }
+
     /// A configuration was read at SIGHUP, and taken or turned down.
     pub fn reloaded(&self, taken: bool) {
         add_one(if taken { &self.reloads } else { &self.reload_errors });
@@ -129,30 +134,48 @@
 /// out leaves it pending for ever.
 #[derive(Debug)]
 pub struct Life {
+    state: Rc<State>,
+}
+
+#[derive(Debug)]
+struct State {
     counts: Rc<Counts>,
-    stage: Stage,
+    stage: Cell<Stage>,
 }
 
-impl Life {
-    /// All of it has come.
-    pub fn taken(&mut self) {
-        if self.stage == Stage::Coming {
-            self.stage = Stage::Taken;
+impl State {
+    fn taken(&self) {
+        if self.stage.get() == Stage::Coming {
+            self.stage.set(Stage::Taken);
             add_one(&self.counts.taken);
         }
     }
+}
+
+impl Life {
+    /// All of it has come.
+    pub fn taken(&self) {
+        self.state.taken();
+    }
+
+    /// To be called once all of it has come.
+    pub fn at_taken(&self) -> impl FnOnce() + 'static {
+        let state = self.state.clone();
+        move || state.taken()
+    }
 
     /// It has its answer. Only the first end counts.
-    pub fn end(&mut self, ended: Ended) {
-        if self.stage == Stage::Ended {
+    pub fn end(&self, ended: Ended) {
+        if self.state.stage.get() == Stage::Ended {
             return;
         }
         self.taken();
-        self.stage = Stage::Ended;
+        self.state.stage.set(Stage::Ended);
+        let counts = &self.state.counts;
         add_one(match ended {
-            Ended::Completed => &self.counts.completed,
-            Ended::Rejected => &self.counts.rejected,
-            Ended::Failed => &self.counts.failed,
+            Ended::Completed => &counts.completed,
+            Ended::Rejected => &counts.rejected,
+            Ended::Failed => &counts.failed,
         });
     }
 }
@@ -160,7 +183,7 @@
 impl Drop for Life {
     fn drop(&mut self) {
         // What never came whole was never taken.
-        if self.stage == Stage::Taken {
+        if self.state.stage.get() == Stage::Taken {
             self.end(Ended::Failed);
         }
     }
@@ -179,7 +202,7 @@
     #[test]
     fn a_request_ends_once_and_is_pending_in_between() {
         let figures = Figures::default();
-        let mut life = figures.request("preview");
+        let life = figures.request("preview");
         assert_eq!(figure(&figures, "balancer.pending"), 0, "it has not all come");
         life.taken();
         assert_eq!(figure(&figures, "balancer.pending"), 1);
@@ -194,8 +217,9 @@
     #[test]
     fn a_request_whose_client_left_is_not_pending_for_ever() {
         let figures = Figures::default();
-        let mut life = figures.request("preview");
-        life.taken();
+        let life = figures.request("preview");
+        life.at_taken()();
+        assert_eq!(figure(&figures, "balancer.pending"), 1);
         drop(life);
         drop(figures.request("preview"));
         assert_eq!(figure(&figures, "balancer.pending"), 0);
--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -45,7 +45,7 @@
 const SAMPLE: f64 = 0.1;
 
 #[derive(Debug, Serialize, Deserialize)]
-struct Server {
+pub struct Server {
     entry: ServerEntry,
     /// When own attempts in hand were sent, the oldest first.
     #[serde(skip)]
@@ -91,7 +91,7 @@
 /// The servers.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Fleet {
-    servers: Own<ServerId, Server>,
+    pub(crate) servers: Own<ServerId, Server>,
     /// Those that are ready and warm.
     warm: Members,
     /// Those that are ready and cold: how many, and the sum of the moments since when they are.
@@ -143,14 +143,15 @@
         self.in_flight.within(class, now) as f64
     }
 
-    /// Notes an attempt that is sent. Returns what the server is, and what the attempt's end is told with.
-    pub fn send(&mut self, now: Millis, to: ServerId) -> Option<(ServerEntry, Ticket)> {
-        Some((self.servers.get(&to)?.entry, self.in_flight.begin(now)))
+    /// What a server is.
+    pub fn entry(&self, id: ServerId) -> Option<ServerEntry> {
+        Some(self.servers.get(&id)?.entry)
     }
 
-    /// Notes that a server has all of an attempt and works on it.
-    pub fn begin(&mut self, now: Millis, at: ServerId) {
+    /// Notes that a server has all of an attempt. Returns what the attempt's end is told with.
+    pub fn begin(&mut self, now: Millis, at: ServerId) -> Ticket {
         self.servers.get_mut(&at).into_iter().for_each(|server| server.out.push_back(now));
+        self.in_flight.begin(now)
     }
 
     /// Notes the end of an attempt.
@@ -171,11 +172,6 @@
         self.cold.0 > self.warm.row().len() || self.servers.get(&id).is_none_or(is_warm)
     }
 
-    /// Whether a server is left out for its failures.
-    pub fn is_ejected(&self, id: ServerId, now: Millis) -> bool {
-        self.servers.get(&id).is_some_and(|server| server.is_ejected(now))
-    }
-
     /// Whether a server holds work of ours and has said nothing for long, or is not there any more.
     pub fn is_silent(&self, id: ServerId, now: Millis, mean: Millis) -> bool {
         self.servers.get(&id).is_none_or(|server| server.silence(now, mean) > SILENCE)
@@ -404,7 +400,7 @@
         }
     }
 
-    fn is_ejected(&self, now: Millis) -> bool {
+    pub fn is_ejected(&self, now: Millis) -> bool {
         now < self.ejected_until || (self.strikes >= STRIKES && !self.out.is_empty())
     }
 
--- a/crates/springusher/src/life.rs
+++ b/crates/springusher/src/life.rs
@@ -20,7 +20,8 @@
 pub struct Attempt {
     pub to: ServerEntry,
     sent: Millis,
-    ticket: Ticket,
+    /// Once its server has all of it; until then it is out for nobody.
+    ticket: Option<Ticket>,
     out: bool,
     pub may_have_run: bool,
 }
@@ -75,19 +76,15 @@
     pub(crate) fn whole(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id).filter(|open| open.uploading) else { return };
         (open.uploading, open.arrived) = (false, self.now);
-        if let Some(attempt) = open.attempts.last_mut().filter(|attempt| attempt.out) {
-            attempt.sent = self.now;
-            self.fleet.begin(self.now, attempt.to.id);
-            actions.push(Action::Timer { at: self.now + LATE * open.class.aim, token: (id << 2) + REVIEW });
-        }
         let request = open.request;
         self.begin(&request, actions);
+        self.begun(id, actions);
     }
 
     /// A timer of a request went off.
     pub(crate) fn timer(&mut self, token: u64, actions: &mut Vec<Action>) {
         if token % 4 == DEADLINE {
-            self.deadline(token / 4, actions);
+            self.give_up(token / 4, actions);
         } else {
             self.review(token / 4, actions);
         }
@@ -122,16 +119,23 @@
 
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some((to, ticket)) = self.fleet.send(self.now, to) else { return };
+        let Some(to) = self.fleet.entry(to) else { return };
+        open.held = false;
+        open.attempts.push(Attempt { to, sent: self.now, ticket: None, out: true, may_have_run: true });
+        actions.push(Action::Send { request: id, server: to.id, expire_at: None });
         if !open.uploading {
-            self.fleet.begin(self.now, to.id);
+            self.begun(id, actions);
         }
-        open.held = false;
-        open.attempts.push(Attempt { to, sent: self.now, ticket, out: true, may_have_run: true });
+    }
+
+    /// The server of the last attempt has all of it.
+    fn begun(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = open.attempts.last_mut().filter(|attempt| attempt.out) else { return };
+        (attempt.sent, attempt.ticket) = (self.now, Some(self.fleet.begin(self.now, attempt.to.id)));
         if let Some(customer) = self.customers.get_mut(&open.request.customer) {
             customer.open += 1;
         }
-        actions.push(Action::Send { request: id, server: to.id, expire_at: None });
         let patience = (PATIENCE * self.kinds.answer(open.request.class)).min(USEFUL * open.class.aim);
         actions.push(Action::Timer { at: self.now + patience, token: (id << 2) + REVIEW });
     }
@@ -156,7 +160,10 @@
 
     /// An attempt has been out for long, or a request held: tries another server, or gives up in time.
     fn review(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(open) = self.requests.get(&id).filter(|open| !open.done && !open.uploading) else { return };
+        let Some(open) = self.requests.get(&id).filter(|open| !open.done && (open.held || !open.uploading))
+        else {
+            return;
+        };
         let (class, due) = (open.request.class, self.now - LATE * open.class.aim);
         let is_late = |last: &Attempt| last.out && last.sent <= due && self.fleet.is_telling(last.to.id);
         if open.attempts.last().is_some_and(is_late) {
@@ -205,7 +212,7 @@
         if end.finished {
             open.done = true;
         }
-        self.fleet.end(server, sent, ticket);
+        ticket.into_iter().for_each(|ticket| self.fleet.end(server, sent, ticket));
         self.judge(request.class, server, &end, actions);
         if let Some(used) = end.used {
             if let Some(customer) = self.customers.get_mut(&request.customer) {
@@ -224,7 +231,9 @@
             }
         }
         self.forget_if_over(end.request);
-        self.release(request.customer, actions);
+        if ticket.is_some() {
+            self.release(request.customer, actions);
+        }
     }
 
     /// An attempt of the customer is over, here or elsewhere: one that waits for that may go.
@@ -236,15 +245,9 @@
         }
     }
 
-    fn deadline(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        if self.requests.get(&id).is_some_and(|open| !open.done) {
-            self.give_up(id, actions);
-        }
-    }
-
     /// Final answer without an answer of a server: a refusal where nothing can have run, else a failure.
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(open) = self.requests.get(&id) else { return };
+        let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
         if open.ran().is_none() {
             self.refuse(id, 0.0, actions);
         } else {
--- a/crates/springusher/src/views.rs
+++ b/crates/springusher/src/views.rs
@@ -11,6 +11,6 @@
 
     /// Whether a server that takes requests is left out at this moment, for its failures.
     pub fn avoids(&self, server: ServerId, now: Millis) -> bool {
-        self.fleet.is_ejected(server, now)
+        self.fleet.servers.get(&server).is_some_and(|server| server.is_ejected(now))
     }
 }
--- /dev/null
+++ b/crates/springusher/tests/uploads.rs
@@ -0,0 +1,114 @@
+//! Requests whose bodies are still coming when they are sent on.
+
+use springusher::*;
+
+fn gateway(open: u32) -> Gateway {
+    let class = Class { worth: 1.0, aim: 1000.0, deadline: 4000.0, late_share: 0.0, effect: Effect::Once };
+    let settings = Settings {
+        classes: vec![class],
+        plans: vec![Plan { rate: 100.0, burst: 200.0, open, ..Plan::default() }],
+        max_attempts: 4,
+        meter_period: 500.0,
+        may_cancel: true,
+        ..Settings::default()
+    };
+    let mut gateway = Gateway::new(settings, 1, 0.0).expect("sound settings");
+    let ready =
+        |id| ServerEntry { id, zone: 0, cell: 0, share: 1.0, lifecycle: Lifecycle::Ready, launched: None };
+    let entries = (0..4).map(ready).collect();
+    gateway.handle(0.0, Event::Servers { kind: ListKind::Full, entries }, &mut Vec::new());
+    gateway
+}
+
+fn request(id: RequestId) -> Request {
+    Request { id, customer: 7, plan: 0, class: 0, units: 1.0, spread: 1, expires_in: 2000.0, repeat: false }
+}
+
+/// What is to be done, without timers, and the timers: when each is due, and its token.
+fn handle(gateway: &mut Gateway, now: Millis, event: Event) -> (Vec<Action>, Vec<(Millis, u64)>) {
+    let mut actions = Vec::new();
+    gateway.handle(now, event, &mut actions);
+    let timers = actions.iter().filter_map(|action| match action {
+        Action::Timer { at, token } => Some((*at, *token)),
+        _ => None,
+    });
+    let timers = timers.collect();
+    actions.retain(|action| !matches!(action, Action::Timer { .. } | Action::Log(_)));
+    (actions, timers)
+}
+
+fn end(request: RequestId, outcome: Outcome) -> Event {
+    Event::AttemptEnd(AttemptEnd { request, attempt: 0, outcome, elapsed: 5.0, finished: false, used: None })
+}
+
+#[test]
+fn its_time_begins_with_its_last_byte() {
+    let mut gateway = gateway(0);
+    let (sent, timers) = handle(&mut gateway, 100.0, Event::Upload(request(1)));
+    assert!(matches!(sent[..], [Action::Send { request: 1, .. }]));
+    assert_eq!(timers, [], "nothing is due before all of it has come");
+    let (nothing, timers) = handle(&mut gateway, 90_000.0, Event::Whole(1));
+    assert_eq!(nothing, []);
+    let last = timers.iter().map(|(at, _)| *at).fold(0.0, f64::max);
+    assert_eq!(last, 90_000.0 + 2000.0 - 2.0, "its client's time, less two calls");
+    for (at, token) in timers {
+        let (actions, _) = handle(&mut gateway, at, Event::Timer(token));
+        assert_eq!(actions.contains(&Action::Fail(1)), at == last, "{actions:?} at {at}");
+    }
+    assert_eq!(handle(&mut gateway, 93_000.0, Event::Whole(1)), (vec![], vec![]), "it is over");
+}
+
+#[test]
+fn it_has_one_attempt_whatever_becomes_of_that() {
+    for (outcome, whole, answer) in [
+        (Outcome::Full, false, Action::Refuse { request: 1, retry_after: 0.0 }),
+        (Outcome::NoConnection, false, Action::Refuse { request: 1, retry_after: 0.0 }),
+        (Outcome::Full, true, Action::Refuse { request: 1, retry_after: 0.0 }),
+        (Outcome::Reset, true, Action::Fail(1)),
+    ] {
+        let mut gateway = gateway(0);
+        handle(&mut gateway, 100.0, Event::Upload(request(1)));
+        if whole {
+            handle(&mut gateway, 200.0, Event::Whole(1));
+        }
+        assert_eq!(handle(&mut gateway, 300.0, end(1, outcome)).0, [answer], "{outcome:?} {whole}");
+    }
+}
+
+#[test]
+fn it_counts_as_out_from_its_last_byte_on() {
+    let mut gateway = gateway(1);
+    handle(&mut gateway, 100.0, Event::Upload(request(1)));
+    let (sent, _) = handle(&mut gateway, 200.0, Event::Request(request(2)));
+    assert!(
+        matches!(sent[..], [Action::Send { request: 2, .. }]),
+        "the other's body is still coming: {sent:?}"
+    );
+    handle(&mut gateway, 300.0, end(2, Outcome::Ok));
+    handle(&mut gateway, 400.0, Event::Whole(1));
+    assert_eq!(handle(&mut gateway, 500.0, Event::Request(request(3))).0, [], "one is out: it waits");
+    let (ended, _) = handle(&mut gateway, 600.0, end(1, Outcome::Reset));
+    assert!(matches!(ended[..], [Action::Fail(1), Action::Send { request: 3, .. }]), "{ended:?}");
+}
+
+#[test]
+fn one_that_never_came_whole_frees_no_place_of_another() {
+    let mut gateway = gateway(1);
+    handle(&mut gateway, 100.0, Event::Upload(request(1)));
+    handle(&mut gateway, 200.0, Event::Request(request(2)));
+    handle(&mut gateway, 300.0, Event::ClientGone(1));
+    handle(&mut gateway, 301.0, end(1, Outcome::NoConnection));
+    assert_eq!(handle(&mut gateway, 400.0, Event::Request(request(3))).0, [], "the second is still out");
+}
+
+#[test]
+fn slow_bodies_press_nobody() {
+    let mut gateway = gateway(0);
+    let before = gateway.room();
+    for id in 1..200 {
+        handle(&mut gateway, 100.0 + id as f64, Event::Upload(request(id)));
+    }
+    assert_eq!(gateway.room(), before);
+    let (sent, _) = handle(&mut gateway, 9000.0, Event::Request(request(500)));
+    assert!(matches!(sent[..], [Action::Send { request: 500, .. }]), "no server is busy yet: {sent:?}");
+}
