--- a/crates/brassport/src/main.rs
+++ b/crates/brassport/src/main.rs
@@ -39,13 +39,16 @@
 const HELP: &str = "\
 The front door of a render fleet.
 
-  brassport                  serve on the platform, as BALANCER_CONFIG says
+  brassport                  serve on the platform, as BALANCER_CONFIG says; a second one takes its place (upgrade)
   brassport --config FILE    serve as the file says, with its sources of nodes (Nomad, DNS, a file)
   brassport check-config FILE  check such a file without starting
   brassport nodes book|why NAME  what the sources of a running appliance say
   brassport try              run a whole site on loopback, and watch it
   brassport appliance ...    the small-site appliance: init, run, console, nodes, ...; see --help there
-  brassport --version        the version";
+  brassport --version        the version
+
+On the platform: BALANCER_CONFIG names the file; BALANCER_LISTEN, BALANCER_DISCOVERY and BALANCER_ADMIN_ADDR go before
+what it says. SIGHUP takes new settings, SIGTERM ends in order. Staff: docs/operations/on-call.md";
 
 /// Whatever has words on its command line: help, or the appliance, which is a program of its own so that the front
 /// door on the platform carries nothing of it.
--- a/crates/brassport/tests/in_service.rs
+++ b/crates/brassport/tests/in_service.rs
@@ -7,6 +7,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -374,3 +375,57 @@
     assert_eq!(figure(admin, "balancer.config_reload_errors"), 0);
     assert_eq!(figure(admin, "balancer.completed.job-submit"), 10);
 }
+
+#[test]
+fn operators_are_answered_in_time_while_the_data_path_is_saturated() {
+    let backend = Peer::start();
+    // So many names of it that nobody is refused for want of room.
+    let names: Vec<_> = (0..40).map(|n| target(&format!("s-{n:08}"), backend.address, "ready")).collect();
+    let mut config = config(closed_port(), list(&names));
+    let plan = &mut config["settings"]["plans"][0];
+    (plan["unitsPerS"], plan["storeSize"]) = (json!(0.0), json!(0.0));
+    let (config, admin) = with_operators(config);
+    let front = Front::start(&config);
+    let (stop, asked) = (AtomicBool::new(false), AtomicU32::new(0));
+    let exchanges = backend.exchanges;
+    let mut times = thread::scope(|scope| {
+        scope.spawn({
+            let stop = &stop;
+            move || {
+                while !stop.load(Ordering::Relaxed) {
+                    if let Ok(exchange) = exchanges.recv_timeout(Duration::from_millis(5)) {
+                        exchange.ok("served");
+                    }
+                }
+                while let Ok(exchange) = exchanges.recv_timeout(Duration::from_millis(100)) {
+                    exchange.ok("served");
+                }
+            }
+        });
+        for _ in 0..32 {
+            scope.spawn(|| {
+                let mut client = front.client();
+                while !stop.load(Ordering::Relaxed) {
+                    assert!([200, 429].contains(&client.send(&get("")).read().status()));
+                    asked.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+        let mut silent = Vec::new();
+        let mut times = Vec::new();
+        for n in 0..200 {
+            // Whoever says nothing meanwhile is in nobody's way.
+            silent.push(TcpStream::connect(admin).expect("it accepts"));
+            let path = if n % 2 == 0 { "/-/ready" } else { "/-/metrics" };
+            let begun = Instant::now();
+            assert_eq!(operate(admin, "GET", path).0, 200);
+            times.push(begun.elapsed());
+        }
+        stop.store(true, Ordering::Relaxed);
+        times
+    });
+    times.sort_unstable();
+    let (p50, p99, most) = (times[100], times[198], times[199]);
+    println!("{} requests meanwhile; calls: p50 {p50:?}, p99 {p99:?}, most {most:?}", asked.into_inner());
+    assert!(most < Duration::from_secs(1), "{most:?}");
+}
