Let a study's lock go on every way out, and share one body for both directions

A process that another thread starts holds a copy of the descriptor for a moment; the lock was let go by name only where the directory had opened. Requests' and answers' bodies are one type, Passing.

--- a/crates/brassport-lab/src/results.rs
+++ b/crates/brassport-lab/src/results.rs
@@ -11,6 +11,7 @@
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
 
 /// The form of the journal and of `run.json`.
 const VERSION: u32 = 1;
@@ -58,6 +59,16 @@
     output.status.success().then(|| String::from_utf8_lossy(&output.stdout).trim().to_string())
 }
 
+/// The commit of the tree, with `+` behind it if the tree has changes. Asked once: a process is of one.
+fn commit() -> &'static str {
+    static COMMIT: OnceLock<String> = OnceLock::new();
+    COMMIT.get_or_init(|| {
+        let commit = output("git", &["rev-parse", "--short=12", "HEAD"]).unwrap_or_else(|| "unknown".into());
+        let changed = output("git", &["status", "--porcelain"]).is_some_and(|text| !text.is_empty());
+        commit + if changed { "+" } else { "" }
+    })
+}
+
 impl Facts {
     fn of(study: &Study) -> Facts {
         let read = |path: &str| std::fs::read_to_string(path).unwrap_or_default();
@@ -67,13 +78,11 @@
         };
         let memory = line(&read("/proc/meminfo"), "MemTotal").unwrap_or_default();
         let memory: u64 = memory.split(' ').next().and_then(|text| text.parse().ok()).unwrap_or(0);
-        let commit = output("git", &["rev-parse", "--short=12", "HEAD"]).unwrap_or_else(|| "unknown".into());
-        let changed = output("git", &["status", "--porcelain"]).is_some_and(|text| !text.is_empty());
         Facts {
             version: VERSION,
             study: study.name.clone(),
             quick: study.quick,
-            commit: commit + if changed { "+" } else { "" },
+            commit: commit().to_string(),
             processor: line(&read("/proc/cpuinfo"), "model name").unwrap_or_else(|| "unknown".into()),
             cores: std::thread::available_parallelism().map_or(1, usize::from),
             memory_mib: memory / 1024,
@@ -85,7 +94,8 @@
 pub struct Directory {
     path: PathBuf,
     journal: File,
-    lock: File,
+    /// Let go of when this is dropped.
+    _lock: Lock,
     /// Rows that were there.
     pub found: Vec<Row>,
 }
@@ -125,11 +135,14 @@
     Ok(())
 }
 
-impl Drop for Directory {
+/// A lock that is held, on whatever way out.
+struct Lock(File);
+
+impl Drop for Lock {
     fn drop(&mut self) {
         // A process that another thread is just starting holds a copy of the descriptor for a moment, and with it
         // the lock, unless it is let go by name.
-        let _ = self.lock.unlock();
+        let _ = self.0.unlock();
     }
 }
 
@@ -148,6 +161,7 @@
             }
             Err(TryLockError::Error(error)) => return Err(error).context("cannot lock the results"),
         }
+        let lock = Lock(lock);
         let facts = Facts::of(study);
         let (facts_at, study_at, journal_at) =
             (path.join("run.json"), path.join("study.toml"), path.join("journal"));
@@ -188,7 +202,7 @@
         journal.seek(SeekFrom::End(0))?;
         let cells = study.cells().len();
         found.retain(|row| row.cell < cells && study.seeds.contains(&row.seed));
-        Ok(Directory { path: path.into(), journal, lock, found })
+        Ok(Directory { path: path.into(), journal, _lock: lock, found })
     }
 
     /// What a directory is of.
@@ -307,9 +321,10 @@
         let directory = tempfile::tempdir().expect("a directory");
         let rows = [row(0, 1), row(0, 2), row(1, 1)];
         let all: String = rows.iter().map(sealed).collect();
+        // One directory for all cuts: what stands in it beside the journal is written once, as each write is durable.
+        let path = directory.path().join("run");
+        drop(Directory::open(&path, &study(), false).expect("it opens"));
         for cut in 0..=all.len() {
-            let path = directory.path().join(format!("{cut}"));
-            drop(Directory::open(&path, &study(), false).expect("it opens"));
             std::fs::write(path.join("journal"), &all[..cut]).expect("written");
             let mut again = Directory::open(&path, &study(), false).expect("it opens");
             let whole = all[..cut].matches('\n').count();
--- a/crates/brassport/src/backends.rs
+++ b/crates/brassport/src/backends.rs
@@ -275,7 +275,8 @@
         let mut end = judge(&head);
         match self.body(&mut pooled.connection, &head, body).await {
             Ok(Held::Whole(bytes)) => {
-                end.answer = (end.outcome == Outcome::Ok).then(|| Response::from_parts(head, bytes.into()));
+                end.answer =
+                    (end.outcome == Outcome::Ok).then(|| Response::from_parts(head, Full::new(bytes).into()));
             }
             Ok(Held::Long(first, rest)) => {
                 marks.begun.set(Some(self.clock.now()));
--- a/crates/brassport/src/bodies/mod.rs
+++ b/crates/brassport/src/bodies/mod.rs
@@ -32,60 +32,24 @@
 
 impl std::error::Error for Broken {}
 
-/// The body of a request to a backend.
-pub enum Outgoing {
+/// A body that is at hand, or one of which more comes.
+pub enum Passing<B> {
     Whole(Full<Bytes>),
-    /// One that is still coming.
-    Coming(Pin<Box<dyn Body<Data = Bytes, Error = Broken>>>),
-}
-
-impl From<Full<Bytes>> for Outgoing {
-    fn from(body: Full<Bytes>) -> Outgoing {
-        Outgoing::Whole(body)
-    }
-}
-
-impl Body for Outgoing {
-    type Data = Bytes;
-    type Error = Broken;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        match self.get_mut() {
-            Outgoing::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
-            Outgoing::Coming(body) => body.as_mut().poll_frame(context),
-        }
-    }
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Outgoing::Whole(body) => body.is_end_stream(),
-            Outgoing::Coming(body) => body.is_end_stream(),
-        }
-    }
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Outgoing::Whole(body) => body.size_hint(),
-            Outgoing::Coming(body) => body.size_hint(),
-        }
-    }
+    Coming(B),
 }
 
+/// The body of a request to a backend.
+pub type Outgoing = Passing<Pin<Box<dyn Body<Data = Bytes, Error = Broken>>>>;
 /// The body of an answer to a client.
-pub enum Answer {
-    Whole(Full<Bytes>),
-    /// One that is still coming.
-    Coming(Coming),
-}
+pub type Answer = Passing<Coming>;
 
-impl From<Bytes> for Answer {
-    fn from(bytes: Bytes) -> Answer {
-        Answer::Whole(Full::new(bytes))
+impl<B> From<Full<Bytes>> for Passing<B> {
+    fn from(body: Full<Bytes>) -> Passing<B> {
+        Passing::Whole(body)
     }
 }
 
-impl Body for Answer {
+impl<B: Body<Data = Bytes, Error = Broken> + Unpin> Body for Passing<B> {
     type Data = Bytes;
     type Error = Broken;
 
@@ -94,20 +58,20 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         match self.get_mut() {
-            Answer::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
-            Answer::Coming(body) => body.poll_piece(context).map_ok(Frame::data),
+            Passing::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
+            Passing::Coming(body) => Pin::new(body).poll_frame(context),
         }
     }
     fn is_end_stream(&self) -> bool {
         match self {
-            Answer::Whole(body) => body.is_end_stream(),
-            Answer::Coming(body) => body.is_over,
+            Passing::Whole(body) => body.is_end_stream(),
+            Passing::Coming(body) => body.is_end_stream(),
         }
     }
     fn size_hint(&self) -> SizeHint {
         match self {
-            Answer::Whole(body) => body.size_hint(),
-            Answer::Coming(body) => body.left.map_or_else(SizeHint::default, SizeHint::with_exact),
+            Passing::Whole(body) => body.size_hint(),
+            Passing::Coming(body) => body.size_hint(),
         }
     }
 }
@@ -139,38 +103,53 @@
         self.at_end = Some(Box::new(end));
     }
 
-    fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
-        if self.is_over {
+    fn end(&mut self, whole: bool) {
+        self.is_over = true;
+        if let Some(end) = self.at_end.take() {
+            end(whole);
+        }
+    }
+}
+
+impl Body for Coming {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let this = self.get_mut();
+        if this.is_over {
             return Poll::Ready(None);
         }
-        let piece = std::task::ready!(self.pieces.poll_recv(context));
+        let piece = std::task::ready!(this.pieces.poll_recv(context));
         Poll::Ready(match piece {
             Some(Piece::Bytes(bytes)) => {
-                if let Some(left) = &mut self.left {
+                if let Some(left) = &mut this.left {
                     *left = left.saturating_sub(bytes.len() as u64);
                     // Whoever writes it asks for no more once the length is there.
                     if *left == 0 {
-                        self.end(true);
+                        this.end(true);
                     }
                 }
-                Some(Ok(bytes))
+                Some(Ok(Frame::data(bytes)))
             }
             Some(Piece::End) => {
-                self.end(true);
+                this.end(true);
                 None
             }
             None => {
-                self.end(false);
+                this.end(false);
                 Some(Err(Broken))
             }
         })
     }
-
-    fn end(&mut self, whole: bool) {
-        self.is_over = true;
-        if let Some(end) = self.at_end.take() {
-            end(whole);
-        }
+    fn is_end_stream(&self) -> bool {
+        self.is_over
+    }
+    fn size_hint(&self) -> SizeHint {
+        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
 
--- a/crates/brassport/src/clients.rs
+++ b/crates/brassport/src/clients.rs
@@ -17,6 +17,7 @@
 use crate::run::metrics::{Ended, Life};
 use crate::run::terms::Terms;
 use crate::shutdown::{Phase, Shutdown};
+use http_body_util::Full;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -371,7 +372,7 @@
 }
 
 fn text(status: StatusCode, line: &'static str) -> Response<Answer> {
-    let mut response = Response::new(Bytes::from_static(line.as_bytes()).into());
+    let mut response = Response::new(Full::new(Bytes::from_static(line.as_bytes())).into());
     *response.status_mut() = status;
     response
 }
--- a/crates/brassport/tests/upgrade.rs
+++ b/crates/brassport/tests/upgrade.rs
@@ -205,8 +205,16 @@
         link.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         link.write_all(said).expect("it is written");
         if is_answered {
-            // The offer has begun: from here on the old one spends nothing until the link has ended.
+            // The offer has begun: from here on the old one spends nothing until the link has ended, and who comes
+            // meanwhile waits rather than being refused.
             link.read_exact(&mut [0; 5]).expect("an offer");
+            let mut early = site.front.client();
+            early.send(&get(""));
+            thread::sleep(Duration::from_millis(100));
+            drop(link);
+            backend.next().ok("served");
+            assert_eq!(early.read().status(), 200);
+            continue;
         } else if !said.is_empty() {
             assert_eq!(link.read(&mut [0]).expect("it closes"), 0);
         }
