Listen for a successor off the thread that serves

Cause: bind, mode and rename of the hand-over's socket ran on the serving thread before it said ready (program.rs), and a folder on a busy disk makes each wait. Ruled out: the hand-over itself (no line of one that was not given). Change: that runs on a blocking thread, and holds the word up for 0.5 s at the most.

--- a/crates/brassport/src/program.rs
+++ b/crates/brassport/src/program.rs
@@ -17,7 +17,7 @@
 use crate::network::Network;
 use crate::run::admin::{self, Call, Command, Operators, Reply};
 use crate::run::handover::links::{HandOver, Links};
-use crate::run::handover::{self, Heir, Office, Taken};
+use crate::run::handover::{Heir, Office, Taken};
 use crate::run::metrics::Figures;
 use crate::run::terms::Terms;
 use crate::shutdown::{Phase, Shutdown};
@@ -30,7 +30,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::task::spawn_local;
 
 /// Descriptors that are neither a client's nor a backend's: streams, event queue, listener, discovery.
@@ -45,6 +45,8 @@
 const LEAVING: Duration = Duration::from_millis(600);
 const CLOSING: Duration = Duration::from_millis(3000);
 const LAST_WORDS: Duration = Duration::from_millis(100);
+/// How long listening for another process may hold up the word that this one is ready.
+const LISTENS: Duration = Duration::from_millis(500);
 /// How long a process whose place another has taken stays at the least, and between two looks whether it may leave.
 const LEFT: Duration = Duration::from_millis(1000);
 
@@ -307,15 +309,15 @@
         ready: inbox.operators.as_ref().map(|operators| operators.ready.clone()),
         revision: newest,
     });
-    match at.map(|at| (handover::link::listen(&at), at)) {
-        Some((Ok(asked), at)) => _ = spawn_local(office.clone().give(at, asked)),
-        Some((Err(error), _)) => {
-            log::line(format!("no upgrade of this process without a loss: TMPDIR: {error}"))
-        }
-        None => {}
-    }
     let serve = clients::serve(listener, context.clone(), descriptors.clone(), spare, adopted);
     let mut serving = spawn_local(serve);
+    if let Some(at) = at {
+        // Before it says that it is ready, as another upgrade may follow at once; a folder that is slow holds that up
+        // for a while only.
+        let (listening, listens) = oneshot::channel();
+        spawn_local(office.clone().give(at, listening));
+        let _ = clock.timeout(LISTENS, listens).await;
+    }
     inbox.ready(true);
 
     // Takes in what is told; whether that is to end, and how.
--- a/crates/brassport/src/run/handover/link.rs
+++ b/crates/brassport/src/run/handover/link.rs
@@ -15,7 +15,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use tokio::io::Interest;
-use tokio::net::{UnixListener, UnixStream};
+use tokio::net::UnixStream;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
@@ -149,18 +149,20 @@
     Ok(())
 }
 
-/// Listens at this path, for this user alone, in the place of whoever listened there.
+/// Listens at this path, for this user alone, in the place of whoever listened there. A folder on a busy disk may make
+/// this wait for seconds: not for the thread that serves.
 ///
 /// # Errors
 /// The folder cannot be written, or the system has no such sockets.
-pub fn listen(at: &Path) -> io::Result<UnixListener> {
+pub fn listen(at: &Path) -> io::Result<std::os::unix::net::UnixListener> {
     use std::os::unix::fs::PermissionsExt;
     let mut fresh = at.as_os_str().to_owned();
     fresh.push(format!(".{}", std::process::id()));
     let fresh = PathBuf::from(fresh);
     // Of an earlier process of this number.
     let _ = std::fs::remove_file(&fresh);
-    let listener = UnixListener::bind(&fresh)?;
+    let listener = std::os::unix::net::UnixListener::bind(&fresh)?;
+    listener.set_nonblocking(true)?;
     std::fs::set_permissions(&fresh, std::fs::Permissions::from_mode(0o600))?;
     // At once and whole: a caller finds the old one or this one.
     std::fs::rename(&fresh, at)?;
@@ -253,6 +255,7 @@
         let first = listen(&path).expect("it listens");
         drop(first);
         let second = listen(&path).expect("it listens where a dead one did");
+        let second = tokio::net::UnixListener::from_std(second).expect("a listener");
         let mode = std::fs::metadata(&path).expect("a file").permissions().mode();
         assert_eq!(mode & 0o777, 0o600);
         let called = UnixStream::connect(&path).await.expect("a call");
--- a/crates/brassport/src/run/handover/mod.rs
+++ b/crates/brassport/src/run/handover/mod.rs
@@ -17,6 +17,7 @@
 use links::{HandOver, Links};
 use protocol::{Giver, GiverDoes, Heard, Message, Offer, Taker, TakerDoes, VERSION};
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
@@ -25,7 +26,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{mpsc, Semaphore};
+use tokio::sync::{mpsc, oneshot, Semaphore};
 
 /// How long a word that is owed may take. Both waits together leave most of the 6 s in which a new process is to be
 /// ready.
@@ -89,6 +90,13 @@
     }
 }
 
+/// Listens at this path, off the thread that serves.
+async fn listen(at: &Path) -> io::Result<UnixListener> {
+    let at = at.to_path_buf();
+    let listener = tokio::task::spawn_blocking(move || link::listen(&at)).await;
+    UnixListener::from_std(listener.map_err(io::Error::other)??)
+}
+
 /// What the old process offers from.
 pub struct Office<C: Clock, N: Network> {
     pub context: Rc<Context<C, N>>,
@@ -109,14 +117,25 @@
 
 impl<C: Clock, N: Network> Office<C, N> {
     /// Gives the place to whoever asks for it, one after another, for as long as the process lives.
-    pub async fn give(self: Rc<Self>, at: PathBuf, mut asked: UnixListener) {
+    /// Says once it can be asked.
+    pub async fn give(self: Rc<Self>, at: PathBuf, listening: oneshot::Sender<()>) {
+        let mut asked = match listen(&at).await {
+            Ok(asked) => {
+                let _ = listening.send(());
+                asked
+            }
+            Err(error) => {
+                log::line(format!("no upgrade of this process without a loss: TMPDIR: {error}"));
+                return;
+            }
+        };
         loop {
             match asked.accept().await {
                 Ok((stream, _)) if link::is_own(&stream) => {
                     self.serve(Link::over(stream)).await;
                     // Who held the place may have listened here.
                     if UnixStream::connect(&at).await.is_err() {
-                        if let Ok(again) = link::listen(&at) {
+                        if let Ok(again) = listen(&at).await {
                             asked = again;
                         }
                     }
