--- a/crates/brassport-sim/tests/command_line.rs
+++ b/crates/brassport-sim/tests/command_line.rs
@@ -81,6 +81,6 @@
 #[test]
 fn every_fault_is_listed() {
     let listed = text(&sim(&["list-faults"]).stdout);
-    assert_eq!(listed.lines().count(), 27);
-    assert!(listed.contains("discovery_stale"));
+    assert_eq!(listed.lines().count(), 28);
+    assert!(listed.contains("discovery_stale") && listed.contains("staff take a node out"));
 }
