--- a/crates/brassport/tests/common/mod.rs
+++ b/crates/brassport/tests/common/mod.rs
@@ -274,6 +274,9 @@
             assert!(Instant::now() < until, "the front door does not listen");
             thread::sleep(Duration::from_millis(5));
         }
+        if let Some(admin) = config["admin_addr"].as_str() {
+            wait_for_ready(admin.parse().expect("an address"));
+        }
         Front { child, address, file }
     }
     /// One in front of these backends, known to it from its start, with discovery dead.
@@ -316,6 +319,18 @@
     (answer.status(), String::from_utf8(answer.body).expect("text"))
 }
 
+/// Waits until the process whose operators' listener this is serves.
+pub fn wait_for_ready(admin: SocketAddr) {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if TcpStream::connect(admin).is_ok() && operate(admin, "GET", "/-/ready").0 == 200 {
+            return;
+        }
+        assert!(Instant::now() < until, "it does not get ready");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// A configuration with an operators' listener, at a port that nobody else is given.
 pub fn with_operators(mut config: Value) -> (Value, SocketAddr) {
     let listen: SocketAddr = config["listen"].as_str().expect("text").parse().expect("an address");
--- a/crates/brassport/tests/upgrade.rs
+++ b/crates/brassport/tests/upgrade.rs
@@ -84,17 +84,6 @@
     }
 }
 
-fn wait_for_ready(admin: SocketAddr) {
-    let until = Instant::now() + PATIENCE;
-    loop {
-        if TcpStream::connect(admin).is_ok() && operate(admin, "GET", "/-/ready").0 == 200 {
-            return;
-        }
-        assert!(Instant::now() < until, "it does not get ready");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
 fn served(client: &mut Client, backend: &Peer, request: &str) {
     client.send(request);
     backend.next().ok("served");
