--- a/crates/brassport/tests/upgrade.rs
+++ b/crates/brassport/tests/upgrade.rs
@@ -11,7 +11,7 @@
 use std::process::{Child, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const FIRST: &str = "s-00000001";
 const SECOND: &str = "s-00000002";
