--- a/crates/timetable/src/chain/mod.rs
+++ b/crates/config-store/src/consensus/mod.rs
@@ -1,21 +1,21 @@
-//! The chain of the operator's words: which entry holds at each place, agreed by a majority of voters' disks. No I/O.
+//! The chain of the operator's words: which entry holds at each index, agreed by a majority of voters' disks. No I/O.
 //!
-//! At most one place is open at a time: the one behind the last that is known to be chosen. A holder of the duty has an
-//! epoch. It asks a majority of the voters for a promise, finishes what may have been chosen under a lower epoch, and
+//! At most one index is open at a time: the one behind the last that is known to be chosen. A leader of leadership has an
+//! term. It asks a majority of the voters for a promise, finishes what may have been chosen under a lower term, and
 //! only then judges what the operator asks. What keeps it safe:
 //!
-//! - **One entry a place.** A voter accepts under an epoch only if it has promised no higher one (`Replica::accept`), and
-//!   a holder takes over the open entry of the highest epoch that its majority tells (`Replica::take_up`).
+//! - **One entry a index.** A voter accepts under an term only if it has promised no higher one (`Replica::accept`), and
+//!   a leader takes over the open entry of the highest term that its majority tells (`Replica::adopt_open_entry`).
 //! - **Nothing leaves before it is on disk.** Promise and acceptance are effects behind a write: [`Action::Write`]
 //!   carries what may be said once it is synced.
-//! - **Majorities meet.** The set of voters is part of the chain and changes by one voter at a place, so that each majority
+//! - **Majorities meet.** The set of voters is part of the chain and changes by one voter at a index, so that each majority
 //!   of one set meets each of the next.
 //! - **Who has lost its disk has no vote.** A voter is an address and the number that its disk was given when it was
 //!   empty; another number is another voter, which the others must let in.
 //!
-//! The first live voter in the agreed order takes the duty: each waits longer, the later it stands in that order.
+//! The first live voter in the agreed order takes the role: each waits longer, the later it stands in that order.
 
-mod duty;
+mod leadership;
 pub mod mutants;
 mod replica;
 
@@ -27,15 +27,15 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-pub use duty::Command;
+pub use leadership::Command;
 pub use replica::{Recovered, Replica};
 
 /// Milliseconds of the steady clock.
 pub type Millis = u64;
-/// How often the duty was taken, and the disk of whoever took it: two holders never have the same.
-pub type Epoch = (u64, u64);
-/// Where an entry stands in the chain; the first has place 1.
-pub type Place = u64;
+/// How often leadership was taken, and the disk of whoever took it: two leaders never have the same.
+pub type Term = (u64, u64);
+/// Where an entry stands in the chain; the first has index 1.
+pub type LogIndex = u64;
 
 /// A voter: its address, and the number that its disk was given.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -46,12 +46,12 @@
     pub disk: u64,
 }
 
-/// What stands at a place.
+/// What stands at a index.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Entry {
-    /// Nothing: a holder makes sure of its majority.
+    /// Nothing: a leader makes sure of its majority.
     Nothing,
-    /// These are the voters from the next place on, and so many doors share what is lent.
+    /// These are the voters from the next index on, and so many doors share what is lent.
     Voters {
         /// The voters, in the agreed order.
         voters: Vec<VoterId>,
@@ -107,8 +107,9 @@
 /// An entry that is chosen.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Chosen {
-    /// Its place.
-    pub place: Place,
+    /// Its index.
+    #[serde(rename = "place")]
+    pub index: LogIndex,
     /// What stands there.
     pub entry: Entry,
 }
@@ -116,79 +117,79 @@
 /// What voters say to one another.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Message {
-    /// Promise to go below this epoch no more.
+    /// Promise to go below this term no more.
     #[serde(rename = "p")]
     Prepare {
-        /// The epoch.
+        /// The term.
         #[serde(rename = "e")]
-        epoch: Epoch,
+        term: Term,
     },
-    /// Promised; the last place known to be chosen, and the entry accepted behind it.
+    /// Promised; the last index known to be chosen, and the entry accepted behind it.
     #[serde(rename = "q")]
     Promise {
-        /// The epoch promised.
+        /// The term promised.
         #[serde(rename = "e")]
-        epoch: Epoch,
-        /// The last place known to be chosen.
+        term: Term,
+        /// The last index known to be chosen.
         #[serde(rename = "p")]
-        place: Place,
-        /// What was accepted at the next, and under which epoch.
-        open: Option<(Epoch, Entry)>,
+        index: LogIndex,
+        /// What was accepted at the next, and under which term.
+        open: Option<(Term, Entry)>,
     },
-    /// Not under this epoch: a higher one was promised, or the holder lives.
+    /// Not under this term: a higher one was promised, or the leader lives.
     #[serde(rename = "x")]
     Refuse {
-        /// The highest epoch promised.
+        /// The highest term promised.
         #[serde(rename = "e")]
-        epoch: Epoch,
+        term: Term,
     },
     /// Accept this entry.
     #[serde(rename = "a")]
     Accept {
-        /// The holder's epoch.
+        /// The leader's term.
         #[serde(rename = "e")]
-        epoch: Epoch,
-        /// The place.
+        term: Term,
+        /// The index.
         #[serde(rename = "p")]
-        place: Place,
+        index: LogIndex,
         /// The entry.
         entry: Entry,
     },
     /// Accepted, and on disk.
     #[serde(rename = "b")]
     Accepted {
-        /// The epoch.
+        /// The term.
         #[serde(rename = "e")]
-        epoch: Epoch,
-        /// The place.
+        term: Term,
+        /// The index.
         #[serde(rename = "p")]
-        place: Place,
+        index: LogIndex,
     },
-    /// The holder lives, and knows all up to this place to be chosen.
+    /// The leader lives, and knows all up to this index to be chosen.
     #[serde(rename = "l")]
     Lead {
-        /// The holder's epoch.
+        /// The leader's term.
         #[serde(rename = "e")]
-        epoch: Epoch,
-        /// The last chosen place.
+        term: Term,
+        /// The last chosen index.
         #[serde(rename = "p")]
-        place: Place,
-        /// Number of this beat: an answer to it shows that the holder still holds.
+        index: LogIndex,
+        /// Number of this heartbeat: an answer to it shows that the leader still holds.
         #[serde(rename = "n")]
-        beat: u64,
+        heartbeat: u64,
     },
-    /// Heard; no higher epoch was promised.
+    /// Heard; no higher term was promised.
     #[serde(rename = "f")]
     Follow {
-        /// The holder's epoch.
+        /// The leader's term.
         #[serde(rename = "e")]
-        epoch: Epoch,
-        /// The last place known here to be chosen.
+        term: Term,
+        /// The last index known here to be chosen.
         #[serde(rename = "p")]
-        place: Place,
-        /// The beat answered.
+        index: LogIndex,
+        /// The heartbeat answered.
         #[serde(rename = "n")]
-        beat: u64,
+        heartbeat: u64,
     },
 }
 
@@ -196,15 +197,15 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Record {
     /// A promise.
-    Promised(Epoch),
-    /// What is chosen at a place, where something else or nothing was accepted here.
+    Promised(Term),
+    /// What is chosen at a index, where something else or nothing was accepted here.
     Chosen(Chosen),
-    /// An acceptance; it is a promise of its epoch too. All before this place is chosen.
+    /// An acceptance; it is a promise of its term too. All before this index is chosen.
     Accepted {
-        /// Under which epoch.
-        epoch: Epoch,
+        /// Under which term.
+        term: Term,
         /// Where.
-        place: Place,
+        index: LogIndex,
         /// What.
         entry: Entry,
     },
@@ -222,17 +223,17 @@
     /// The state has moved on: this entry was chosen, or with `None` a whole state was taken over.
     Moved(Option<Chosen>),
     /// What the operator asked under this number has its outcome.
-    Answer(u64, Verdict),
-    /// This replica lacks what stands before the open place: fetch it from that machine.
+    Answer(u64, Outcome),
+    /// This replica lacks what stands before the open index: fetch it from that machine.
     Fetch(Ipv4Addr),
 }
 
 /// What became of what an operator asked.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub enum Verdict {
+pub enum Outcome {
     /// It is chosen, or was before.
     Taken,
-    /// Another version is in place, and what was asked will never be in force.
+    /// Another version is in index, and what was asked will never be in force.
     Outdated,
     /// It is invalid; why.
     Invalid(String),
@@ -245,12 +246,13 @@
 /// How many of the latest versions are remembered, to tell a call sent again from a new one.
 const REMEMBERED: usize = 512;
 
-/// What the chain has led to at a place.
+/// What the chain has led to at a index.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
-    /// The place.
-    pub place: Place,
-    /// Who votes on the next place.
+    /// The index.
+    #[serde(rename = "place")]
+    pub index: LogIndex,
+    /// Who votes on the next index.
     pub voters: Vec<VoterId>,
     /// Parts that limits are cut into.
     pub slots: u32,
@@ -264,7 +266,7 @@
 // A document follows from the calls that led to it, of which the digests are kept: those stand for it.
 impl Hash for State {
     fn hash<H: Hasher>(&self, hasher: &mut H) {
-        (self.place, &self.voters, self.slots, &self.taken).hash(hasher);
+        (self.index, &self.voters, self.slots, &self.taken).hash(hasher);
     }
 }
 
@@ -287,12 +289,12 @@
     /// Before anything was heard.
     pub fn nothing() -> State {
         let document = Arc::new(Document::empty());
-        State { place: 0, voters: Vec::new(), slots: 0, document, taken: BTreeMap::new() }
+        State { index: 0, voters: Vec::new(), slots: 0, document, taken: BTreeMap::new() }
     }
 
     /// The beginning: there are voters, and no configuration.
     pub fn genesis(voters: Vec<VoterId>, slots: u32) -> State {
-        State { place: 1, voters, slots, ..State::nothing() }
+        State { index: 1, voters, slots, ..State::nothing() }
     }
 
     /// So many voters are a majority.
@@ -311,9 +313,9 @@
         self.document.version().0
     }
 
-    /// Applies the entry at the next place. Whoever applies the same entries has the same state.
+    /// Applies the entry at the next index. Whoever applies the same entries has the same state.
     pub fn apply(&mut self, entry: &Entry) {
-        self.place += 1;
+        self.index += 1;
         match entry {
             Entry::Nothing => {}
             Entry::Voters { voters, slots } => (self.voters, self.slots) = (voters.clone(), *slots),
--- a/crates/timetable/src/chain/mutants.rs
+++ b/crates/config-store/src/consensus/mutants.rs
@@ -7,17 +7,17 @@
 pub enum Mutant {
     /// A promise, or an acceptance, is said before it is on disk.
     SaidUnsynced = 1,
-    /// A new holder passes over what may have been chosen before.
+    /// A new leader passes over what may have been chosen before.
     OpenForgotten,
     /// One voter fewer than a majority is enough.
     NoMajority,
-    /// A voter accepts under an epoch below its promise.
+    /// A voter accepts under an term below its promise.
     PromiseBroken,
     /// A voter whose disk was lost goes on as the one that it was.
     DiskIgnored,
-    /// A holder takes the duty before its own promise is on disk.
+    /// A leader takes leadership before its own promise is on disk.
     OwnPromiseUnsynced,
-    /// A holder judges although it may be one no more.
+    /// A leader judges although it may be one no more.
     JudgesUnsure,
     /// Behind a write that failed nothing is mended.
     TornIgnored,
--- a/crates/timetable/src/chain/replica.rs
+++ b/crates/config-store/src/consensus/replica.rs
@@ -1,35 +1,35 @@
 //! One machine's copy of the chain: what it promised and accepted, and the state that all entries led to. A machine
 //! without a vote has one too, and only follows.
 
-use super::duty::{Command, Duty};
+use super::leadership::{Command, Role};
 use super::mutants::is_chosen;
 use super::*;
 use std::collections::VecDeque;
 
-/// Entries, and bytes of them, that are kept for those who follow from a place on; beyond that they take a whole state.
+/// Entries, and bytes of them, that are kept for those who follow from a index on; beyond that they take a whole state.
 const KEPT: usize = 256;
 const KEPT_BYTES: usize = 512 * 1024;
-/// A whole state is written each so many places, in the place of the entries that led there.
-const SNAPSHOT: Place = 64;
-/// A holder that was heard so lately lives: nobody else is promised anything. Guards the duty against a voter that is
+/// A whole state is written each so many indexes, in the place of the entries that led there.
+const SNAPSHOT: LogIndex = 64;
+/// A leader that was heard so lately lives: nobody else is promised anything. Guards leadership against a voter that is
 /// heard and does not hear.
 const LIVES: Millis = 360;
-/// Silence after which the first in the agreed order takes the duty, and so much later each one behind it.
+/// Silence after which the first in the agreed order takes leadership, and so much later each one behind it.
 const SILENCE: Millis = 420;
 const STEP: Millis = 220;
-/// As those two at a start, where nothing was heard yet: a holder that lives is heard within 120 ms.
+/// As those two at a start, where nothing was heard yet: a leader that lives is heard within 120 ms.
 const FIRST_SILENCE: Millis = 240;
 const FIRST_STEP: Millis = 90;
 
 /// What was found on disk.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Recovered {
-    /// The highest epoch promised.
-    pub promised: Epoch,
+    /// The highest term promised.
+    pub promised: Term,
     /// The state that the chosen entries led to.
     pub state: State,
     /// What was accepted behind that.
-    pub open: Option<(Epoch, Entry)>,
+    pub open: Option<(Term, Entry)>,
 }
 
 /// One machine's copy of the chain.
@@ -37,23 +37,23 @@
 pub struct Replica {
     pub(super) me: VoterId,
     pub(super) state: Arc<State>,
-    pub(super) promised: Epoch,
-    /// Accepted at the next place.
-    open: Option<(Epoch, Entry)>,
+    pub(super) promised: Term,
+    /// Accepted at the next index.
+    open: Option<(Term, Entry)>,
     /// The latest entries, the newest last.
     kept: VecDeque<Chosen>,
     kept_bytes: usize,
-    /// The holder that was heard last, under which epoch, and when.
-    heard: Option<(Epoch, Ipv4Addr, Millis)>,
-    /// Whether a holder was heard, or somebody stood, in this life.
+    /// The leader that was heard last, under which term, and when.
+    heard: Option<(Term, Ipv4Addr, Millis)>,
+    /// Whether a leader was heard, or somebody stood, in this life.
     is_born: bool,
-    /// Since when this voter would take the duty.
+    /// Since when this voter would take leadership.
     pub(super) quiet_since: Millis,
-    pub(super) duty: Duty,
+    pub(super) role: Role,
     /// What may be said once a write is synced.
     writes: BTreeMap<u64, Vec<(Ipv4Addr, Message)>>,
     /// What is known to be on disk: the promise, and the latest acceptance.
-    synced: (Epoch, (Epoch, Place)),
+    synced: (Term, (Term, LogIndex)),
     last_write: u64,
     /// Whether a write failed: the next one carries the whole state first.
     torn: bool,
@@ -75,7 +75,7 @@
             heard: None,
             is_born: false,
             quiet_since: now,
-            duty: Duty::None,
+            role: Role::Follower,
             writes: BTreeMap::new(),
             synced: (found.promised, ((0, 0), 0)),
             last_write: 0,
@@ -91,12 +91,12 @@
         self.me.disk = disk;
         self.promised = self.promised.max(found.promised);
         self.synced.0 = found.promised;
-        if found.state.place >= self.state.place && found.state.place > 0 {
+        if found.state.index >= self.state.index && found.state.index > 0 {
             (self.state, self.open) = (Arc::new(found.state), found.open);
             self.kept.clear();
             self.kept_bytes = 0;
             self.actions.push(Action::Moved(None));
-        } else if self.state.place > 0 {
+        } else if self.state.index > 0 {
             self.write_whole();
         }
         self.quiet_since = now;
@@ -106,7 +106,7 @@
     /// Begins the chain, with this voter alone. Only one machine may ever be told to.
     pub fn found(&mut self, now: Millis, slots: u32) -> Vec<Action> {
         self.now = now;
-        if self.state.place == 0 && self.me.disk != 0 {
+        if self.state.index == 0 && self.me.disk != 0 {
             self.state = Arc::new(State::genesis(vec![self.me], slots));
             self.write_whole();
             self.actions.push(Action::Moved(None));
@@ -125,11 +125,11 @@
         self.me
     }
 
-    /// The live holder, if one is known.
-    pub fn holder(&self, now: Millis) -> Option<(Epoch, Ipv4Addr)> {
-        match &self.duty {
-            Duty::Holding(holding) => Some((holding.epoch, self.me.ip)),
-            _ => self.heard.filter(|(_, _, at)| now < at + 2 * SILENCE).map(|(epoch, ip, _)| (epoch, ip)),
+    /// The live leader, if one is known.
+    pub fn leader(&self, now: Millis) -> Option<(Term, Ipv4Addr)> {
+        match &self.role {
+            Role::Leader(leading) => Some((leading.term, self.me.ip)),
+            _ => self.heard.filter(|(_, _, at)| now < at + 2 * SILENCE).map(|(term, ip, _)| (term, ip)),
         }
     }
 
@@ -138,19 +138,19 @@
         self.me.disk != 0 && self.state.voters.contains(&self.me)
     }
 
-    /// The entries from behind a place on; `None` if they are no longer kept.
-    pub fn since(&self, place: Place) -> Option<Vec<Chosen>> {
-        let first = self.kept.front().map_or(self.state.place + 1, |chosen| chosen.place);
-        (place + 1 >= first && place <= self.state.place)
-            .then(|| self.kept.iter().filter(|chosen| chosen.place > place).cloned().collect())
+    /// The entries from behind a index on; `None` if they are no longer kept.
+    pub fn since(&self, index: LogIndex) -> Option<Vec<Chosen>> {
+        let first = self.kept.front().map_or(self.state.index + 1, |chosen| chosen.index);
+        (index + 1 >= first && index <= self.state.index)
+            .then(|| self.kept.iter().filter(|chosen| chosen.index > index).cloned().collect())
     }
 
     /// Takes in entries that are known to be chosen.
     pub fn learn(&mut self, now: Millis, entries: Vec<Chosen>) -> Vec<Action> {
         self.now = now;
         for chosen in entries {
-            if chosen.place == self.state.place + 1 {
-                self.overtaken(chosen.place, &chosen.entry);
+            if chosen.index == self.state.index + 1 {
+                self.overtaken(chosen.index, &chosen.entry);
                 self.advance(chosen.entry);
             }
         }
@@ -161,8 +161,8 @@
     /// Takes in a whole state that is known to be chosen; an older one than this is passed over.
     pub fn adopt(&mut self, now: Millis, state: State) -> Vec<Action> {
         self.now = now;
-        if state.place > self.state.place {
-            self.overtaken(state.place, &Entry::Nothing);
+        if state.index > self.state.index {
+            self.overtaken(state.index, &Entry::Nothing);
             self.state = Arc::new(state);
             (self.open, self.kept_bytes) = (None, 0);
             self.kept.clear();
@@ -182,8 +182,8 @@
         if synced {
             for (to, message) in said {
                 match &message {
-                    Message::Promise { epoch, .. } => self.synced.0 = self.synced.0.max(*epoch),
-                    Message::Accepted { epoch, place } => self.synced.1 = (*epoch, *place),
+                    Message::Promise { term, .. } => self.synced.0 = self.synced.0.max(*term),
+                    Message::Accepted { term, index } => self.synced.1 = (*term, *index),
                     _ => {}
                 }
                 self.send(to, message);
@@ -201,7 +201,7 @@
         self.done()
     }
 
-    /// Asks something of the holder, which is this machine; the answer comes with the number.
+    /// Asks something of the leader, which is this machine; the answer comes with the number.
     pub fn ask(&mut self, now: Millis, number: u64, command: Command) -> Vec<Action> {
         self.now = now;
         self.asked(number, command);
@@ -215,17 +215,17 @@
             (self.heard, self.quiet_since) = (None, now);
         }
         self.now = now;
-        if self.votes() && matches!(self.duty, Duty::None) {
+        if self.votes() && matches!(self.role, Role::Follower) {
             let order = self.state.voters.iter().position(|voter| *voter == self.me).unwrap_or_default();
             let alone = self.state.voters.len() == 1;
             let (silence, step) = if self.is_born { (SILENCE, STEP) } else { (FIRST_SILENCE, FIRST_STEP) };
             let wait = if alone { 0 } else { silence + step * order as Millis };
             if now >= self.quiet_since + wait {
                 self.is_born = true;
-                self.stand();
+                self.campaign();
             }
         }
-        self.keep_duty();
+        self.tick_role();
         self.done()
     }
 
@@ -235,13 +235,13 @@
 
     pub(super) fn take_in(&mut self, from: VoterId, message: Message) {
         match message {
-            Message::Prepare { epoch } => self.prepare(from, epoch),
-            Message::Accept { epoch, place, entry } => self.accept(from, epoch, place, entry),
-            Message::Lead { epoch, place, beat } => self.lead(from, epoch, place, beat),
-            Message::Promise { epoch, place, open } => self.promise(from, epoch, place, open),
-            Message::Accepted { epoch, place } => self.accepted(from, epoch, place),
-            Message::Follow { epoch, beat, .. } => self.followed(from, epoch, beat),
-            Message::Refuse { epoch } => self.refused(epoch),
+            Message::Prepare { term } => self.prepare(from, term),
+            Message::Accept { term, index, entry } => self.accept(from, term, index, entry),
+            Message::Lead { term, index, heartbeat } => self.lead(from, term, index, heartbeat),
+            Message::Promise { term, index, open } => self.promise(from, term, index, open),
+            Message::Accepted { term, index } => self.accepted(from, term, index),
+            Message::Follow { term, heartbeat, .. } => self.followed(from, term, heartbeat),
+            Message::Refuse { term } => self.refused(term),
         }
     }
 
@@ -275,33 +275,32 @@
         self.write(Record::Whole(whole), Vec::new());
     }
 
-    /// Somebody wants the duty.
-    fn prepare(&mut self, from: VoterId, epoch: Epoch) {
+    /// Somebody wants leadership.
+    fn prepare(&mut self, from: VoterId, term: Term) {
         if self.me.disk == 0 {
             return;
         }
-        let held = match &self.duty {
-            Duty::Holding(holding) => holding.is_sure(self.now, &self.state) && from.ip != self.me.ip,
+        let held = match &self.role {
+            Role::Leader(leading) => leading.has_quorum(self.now, &self.state) && from.ip != self.me.ip,
             _ => self.heard.is_some_and(|(_, ip, at)| self.now < at + LIVES && ip != from.ip),
         };
-        let below = epoch < self.promised && !is_chosen(Mutant::PromiseBroken);
-        if below || (epoch > self.promised && held) {
-            return self.send(from.ip, Message::Refuse { epoch: self.promised });
+        let below = term < self.promised && !is_chosen(Mutant::PromiseBroken);
+        if below || (term > self.promised && held) {
+            return self.send(from.ip, Message::Refuse { term: self.promised });
         }
-        let promise = Message::Promise { epoch, place: self.state.place, open: self.open.clone() };
-        if epoch > self.promised {
-            self.promised = epoch;
+        let promise = Message::Promise { term, index: self.state.index, open: self.open.clone() };
+        if term > self.promised {
+            self.promised = term;
             if from.ip != self.me.ip {
                 self.step_down();
                 self.quiet_since = self.now;
             }
-            self.write(Record::Promised(epoch), vec![(from.ip, promise)]);
-        } else if self.synced.0 >= epoch {
+            self.write(Record::Promised(term), vec![(from.ip, promise)]);
+        } else if self.synced.0 >= term {
             // Asked again: what is synced may be said again.
             self.send(from.ip, promise);
-        } else if !self.waits(|said| matches!(said, Message::Promise { epoch: under, .. } if *under == epoch))
-        {
-            self.write(Record::Promised(epoch), vec![(from.ip, promise)]);
+        } else if !self.waits(|said| matches!(said, Message::Promise { term: under, .. } if *under == term)) {
+            self.write(Record::Promised(term), vec![(from.ip, promise)]);
         }
     }
 
@@ -310,59 +309,59 @@
         self.writes.values().flatten().any(|(_, waiting)| like(waiting))
     }
 
-    /// The holder wants an entry accepted.
-    fn accept(&mut self, from: VoterId, epoch: Epoch, place: Place, entry: Entry) {
+    /// The leader wants an entry accepted.
+    fn accept(&mut self, from: VoterId, term: Term, index: LogIndex, entry: Entry) {
         if self.me.disk == 0 {
             return;
         }
-        if epoch < self.promised && !is_chosen(Mutant::PromiseBroken) {
-            return self.send(from.ip, Message::Refuse { epoch: self.promised });
+        if term < self.promised && !is_chosen(Mutant::PromiseBroken) {
+            return self.send(from.ip, Message::Refuse { term: self.promised });
         }
-        self.hear_holder(epoch, from.ip);
-        if place > self.state.place + 1 {
+        self.hear_leader(term, from.ip);
+        if index > self.state.index + 1 {
             return self.actions.push(Action::Fetch(from.ip));
         }
-        if place <= self.state.place {
-            // It is chosen, and the holder does not know that yet. Under its own epoch it can be nothing else.
+        if index <= self.state.index {
+            // It is chosen, and the leader does not know that yet. Under its own term it can be nothing else.
             return;
         }
-        let said = Message::Accepted { epoch, place };
-        let same = self.open.as_ref().is_some_and(|(under, held)| *under == epoch && *held == entry);
-        if same && self.synced.1 == (epoch, place) {
+        let said = Message::Accepted { term, index };
+        let same = self.open.as_ref().is_some_and(|(under, held)| *under == term && *held == entry);
+        if same && self.synced.1 == (term, index) {
             return self.send(from.ip, said);
         }
         if same && self.waits(|waiting| *waiting == said) {
             return;
         }
-        self.promised = epoch;
-        self.open = Some((epoch, entry.clone()));
-        self.write(Record::Accepted { epoch, place, entry }, vec![(from.ip, said)]);
+        self.promised = term;
+        self.open = Some((term, entry.clone()));
+        self.write(Record::Accepted { term, index, entry }, vec![(from.ip, said)]);
     }
 
-    /// The holder lives, and tells how far the chain is chosen.
-    fn lead(&mut self, from: VoterId, epoch: Epoch, place: Place, beat: u64) {
-        if epoch < self.promised && !is_chosen(Mutant::PromiseBroken) {
-            return self.send(from.ip, Message::Refuse { epoch: self.promised });
+    /// The leader lives, and tells how far the chain is chosen.
+    fn lead(&mut self, from: VoterId, term: Term, index: LogIndex, heartbeat: u64) {
+        if term < self.promised && !is_chosen(Mutant::PromiseBroken) {
+            return self.send(from.ip, Message::Refuse { term: self.promised });
         }
-        self.hear_holder(epoch, from.ip);
-        if place == self.state.place + 1 {
-            if let Some((_, entry)) = self.open.take_if(|(under, _)| *under == epoch) {
+        self.hear_leader(term, from.ip);
+        if index == self.state.index + 1 {
+            if let Some((_, entry)) = self.open.take_if(|(under, _)| *under == term) {
                 self.advance_open(entry);
             }
         }
-        if place > self.state.place {
+        if index > self.state.index {
             self.actions.push(Action::Fetch(from.ip));
         }
-        self.send(from.ip, Message::Follow { epoch, place: self.state.place, beat });
+        self.send(from.ip, Message::Follow { term, index: self.state.index, heartbeat });
     }
 
-    fn hear_holder(&mut self, epoch: Epoch, ip: Ipv4Addr) {
+    fn hear_leader(&mut self, term: Term, ip: Ipv4Addr) {
         self.is_born = true;
         if ip != self.me.ip {
-            if self.duty.epoch().is_some_and(|own| own < epoch) {
+            if self.role.term().is_some_and(|own| own < term) {
                 self.step_down();
             }
-            (self.heard, self.quiet_since) = (Some((epoch, ip, self.now)), self.now);
+            (self.heard, self.quiet_since) = (Some((term, ip, self.now)), self.now);
         }
     }
 
@@ -374,10 +373,10 @@
 
     /// An entry is chosen, whatever was accepted here.
     pub(super) fn advance(&mut self, entry: Entry) {
-        let place = self.state.place + 1;
+        let index = self.state.index + 1;
         let held = self.open.take().is_some_and(|(_, open)| open == entry);
         if self.me.disk != 0 && !held {
-            self.write(Record::Chosen(Chosen { place, entry: entry.clone() }), Vec::new());
+            self.write(Record::Chosen(Chosen { index, entry: entry.clone() }), Vec::new());
         }
         self.moved(entry);
     }
@@ -388,7 +387,7 @@
             _ => 64,
         };
         Arc::make_mut(&mut self.state).apply(&entry);
-        let chosen = Chosen { place: self.state.place, entry };
+        let chosen = Chosen { index: self.state.index, entry };
         self.kept_bytes += size(&chosen.entry);
         self.kept.push_back(chosen.clone());
         while self.kept.len() > KEPT || self.kept_bytes > KEPT_BYTES {
@@ -396,7 +395,7 @@
             self.kept_bytes -= size(&oldest.entry);
         }
         self.actions.push(Action::Moved(Some(chosen)));
-        if self.me.disk != 0 && self.state.place.is_multiple_of(SNAPSHOT) {
+        if self.me.disk != 0 && self.state.index.is_multiple_of(SNAPSHOT) {
             self.write_whole();
         }
     }
--- a/crates/timetable/src/store.rs
+++ b/crates/config-store/src/store.rs
@@ -2,7 +2,7 @@
 //! synced before [`Store::keep`] returns. One owner; the host gives it a thread, so that a disk that hangs holds up
 //! nobody else.
 
-use crate::chain::{Chosen, Entry, Epoch, Place, Record, Recovered, State};
+use crate::consensus::{Chosen, Entry, LogIndex, Record, Recovered, State, Term};
 use rusqlite::{params, Connection, OptionalExtension};
 use serde::{de::DeserializeOwned, Serialize};
 use std::path::{Path, PathBuf};
@@ -125,7 +125,7 @@
     /// # Errors
     /// The disk refuses, or a record can't be read.
     pub fn recover(&self) -> Result<Recovered, Fault> {
-        let promised: Epoch = self.meta("promised")?.unwrap_or_default();
+        let promised: Term = self.meta("promised")?.unwrap_or_default();
         let state: Option<Vec<u8>> =
             self.connection.query_row("SELECT value FROM state", [], |row| row.get(0)).optional()?;
         let mut state: State = state.map_or(Ok(State::nothing()), |bytes| self.decode(&bytes))?;
@@ -142,19 +142,19 @@
         let rows: Vec<_> = rows.collect::<Result<_, _>>()?;
         let last = rows.len();
         let mut open = None;
-        for (number, (place, epoch, entry, chosen)) in rows.into_iter().enumerate() {
+        for (number, (index, term, entry, chosen)) in rows.into_iter().enumerate() {
             let entry: Entry = self.decode(&entry)?;
-            if place as Place != state.place + 1 {
-                return Err(self.spoilt(format!("place {place} stands behind place {}", state.place)));
+            if index as LogIndex != state.index + 1 {
+                return Err(self.spoilt(format!("index {index} stands behind index {}", state.index)));
             }
             // What stands before another was chosen when that was accepted.
             if chosen || number + 1 < last {
                 state.apply(&entry);
             } else {
-                open = Some((self.decode(&epoch)?, entry));
+                open = Some((self.decode(&term)?, entry));
             }
         }
-        let promised = open.as_ref().map_or(promised, |(epoch, _): &(Epoch, Entry)| promised.max(*epoch));
+        let promised = open.as_ref().map_or(promised, |(term, _): &(Term, Entry)| promised.max(*term));
         Ok(Recovered { promised, state, open })
     }
 
@@ -174,20 +174,20 @@
     fn try_to_keep(&mut self, record: &Record) -> Result<(), Fault> {
         let transaction = self.connection.transaction()?;
         match record {
-            Record::Promised(epoch) => put_meta(&transaction, "promised", epoch)?,
-            Record::Accepted { epoch, place, entry } => {
-                put_meta(&transaction, "promised", epoch)?;
-                put_entry(&transaction, (*place, entry), *epoch, false)?;
+            Record::Promised(term) => put_meta(&transaction, "promised", term)?,
+            Record::Accepted { term, index, entry } => {
+                put_meta(&transaction, "promised", term)?;
+                put_entry(&transaction, (*index, entry), *term, false)?;
             }
-            Record::Chosen(Chosen { place, entry }) => {
-                put_entry(&transaction, (*place, entry), (0, 0), true)?;
+            Record::Chosen(Chosen { index, entry }) => {
+                put_entry(&transaction, (*index, entry), (0, 0), true)?;
             }
             Record::Whole(Recovered { promised, state, open }) => {
                 put_meta(&transaction, "promised", promised)?;
                 transaction.execute("INSERT OR REPLACE INTO state VALUES (1, ?1)", params![encode(state)])?;
                 transaction.execute("DELETE FROM log", [])?;
-                if let Some((epoch, entry)) = open {
-                    put_entry(&transaction, (state.place + 1, entry), *epoch, false)?;
+                if let Some((term, entry)) = open {
+                    put_entry(&transaction, (state.index + 1, entry), *term, false)?;
                 }
             }
         }
@@ -226,14 +226,14 @@
 
 fn put_entry(
     at: &Connection,
-    (place, entry): (Place, &Entry),
-    epoch: Epoch,
+    (index, entry): (LogIndex, &Entry),
+    term: Term,
     chosen: bool,
 ) -> Result<(), Fault> {
-    at.execute("DELETE FROM log WHERE place >= ?1", [place as i64])?;
+    at.execute("DELETE FROM log WHERE place >= ?1", [index as i64])?;
     at.execute(
         "INSERT INTO log VALUES (?1, ?2, ?3, ?4)",
-        params![place as i64, encode(&epoch), encode(entry), chosen],
+        params![index as i64, encode(&term), encode(entry), chosen],
     )?;
     Ok(())
 }
--- a/crates/timetable/tests/common/mod.rs
+++ b/crates/config-store/tests/common/mod.rs
@@ -6,12 +6,12 @@
 #![allow(dead_code)]
 
 use brassport_checkers::versions::{self, Answered, Operation};
+use config_store::consensus::mutants::Mutant;
+use config_store::consensus::*;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use timetable::chain::mutants::Mutant;
-use timetable::chain::*;
 
 /// What one campaign may do.
 #[derive(Debug, Clone, Copy)]
@@ -65,8 +65,8 @@
     queue: BTreeMap<(Millis, u64), Step>,
     last: u64,
     machines: Vec<Machine>,
-    /// What stands at each place, by whoever said so first.
-    chosen: BTreeMap<Place, Entry>,
+    /// What stands at each index, by whoever said so first.
+    chosen: BTreeMap<LogIndex, Entry>,
     asked: BTreeMap<u64, Asked>,
     next_ask: u64,
     last_version: u32,
@@ -278,15 +278,15 @@
                     self.at(wait, Step::Fetched(one, machine(from)));
                 }
                 Action::Moved(entry) => {
-                    if let Some(Chosen { place, entry }) = entry {
-                        let first = self.chosen.entry(place).or_insert_with(|| entry.clone());
+                    if let Some(Chosen { index, entry }) = entry {
+                        let first = self.chosen.entry(index).or_insert_with(|| entry.clone());
                         if *first != entry {
                             self.broken
-                                .push(format!("place {place}: {first:?} and {entry:?} are both chosen"));
+                                .push(format!("index {index}: {first:?} and {entry:?} are both chosen"));
                         }
                     }
                 }
-                Action::Answer(number, verdict) => self.answered(number, verdict),
+                Action::Answer(number, outcome) => self.answered(number, outcome),
             }
         }
     }
@@ -316,11 +316,11 @@
         if self.is_cut(one, from) || self.is_cut(from, one) || self.now < self.machines[from].frozen_until {
             return;
         }
-        let Some(place) = self.machines[one].replica.as_ref().map(|replica| replica.state().place) else {
+        let Some(index) = self.machines[one].replica.as_ref().map(|replica| replica.state().index) else {
             return;
         };
         let Some(source) = &self.machines[from].replica else { return };
-        let (entries, state) = (source.since(place), State::clone(source.state()));
+        let (entries, state) = (source.since(index), State::clone(source.state()));
         let now = self.now;
         let Some(replica) = &mut self.machines[one].replica else { return };
         let actions = match entries {
@@ -376,11 +376,11 @@
 
     /// A disk is lost, if all others are as they were: more than may be lost at once would prove nothing.
     fn wipe(&mut self, one: usize) {
-        let newest = self.machines.iter().map(|machine| machine.kept.state.place).max().unwrap_or_default();
+        let newest = self.machines.iter().map(|machine| machine.kept.state.index).max().unwrap_or_default();
         let is_whole = |machine: &Machine| {
             let state = &machine.kept.state;
             let voters = &state.voters;
-            let in_order = machine.kept.state.place + 1 >= newest && voters.len() >= self.sizes.voters;
+            let in_order = machine.kept.state.index + 1 >= newest && voters.len() >= self.sizes.voters;
             in_order && machine.replica.is_some()
         };
         let others_whole = self.machines.iter().all(|machine| {
@@ -416,11 +416,11 @@
         self.machines[one].frozen_until = frozen;
     }
 
-    /// What the holder's keeper does: lets machines in whose disk is new, one step at a time.
+    /// What the leader's keeper does: lets machines in whose disk is new, one step at a time.
     fn keep_voters(&mut self) {
         let now = self.now;
-        let Some(holder) = (0..self.machines.len()).find(|one| self.holds(*one)) else { return };
-        let Some(replica) = &self.machines[holder].replica else { return };
+        let Some(leader) = (0..self.machines.len()).find(|one| self.leads(*one)) else { return };
+        let Some(replica) = &self.machines[leader].replica else { return };
         let state = replica.state().clone();
         let mut voters = state.voters.clone();
         let ids: Vec<VoterId> = (0..self.machines.len())
@@ -437,24 +437,24 @@
             return;
         }
         let number = 1 << 60;
-        if let Some(replica) = &mut self.machines[holder].replica {
+        if let Some(replica) = &mut self.machines[leader].replica {
             let actions = replica.ask(now, number, Command::Voters { voters, slots: state.slots });
-            self.carry_out(holder, actions);
+            self.carry_out(leader, actions);
         }
     }
 
-    fn holds(&self, one: usize) -> bool {
+    fn leads(&self, one: usize) -> bool {
         self.now >= self.machines[one].frozen_until
-            && self.machines[one].replica.as_ref().is_some_and(Replica::holds)
+            && self.machines[one].replica.as_ref().is_some_and(Replica::leads)
     }
 
     fn ask(&mut self) {
-        // Asked of anybody who believes to hold the duty: there may be several.
-        let holders: Vec<usize> = (0..self.machines.len()).filter(|one| self.holds(*one)).collect();
-        if holders.is_empty() {
+        // Asked of anybody who believes to hold the role: there may be several.
+        let leaders: Vec<usize> = (0..self.machines.len()).filter(|one| self.leads(*one)).collect();
+        if leaders.is_empty() {
             return;
         }
-        let one = holders[self.draw(holders.len() as u64) as usize];
+        let one = leaders[self.draw(leaders.len() as u64) as usize];
         let now = self.now;
         self.next_ask += 1;
         let number = self.next_ask;
@@ -494,15 +494,15 @@
         self.history.insert(number, operation);
     }
 
-    fn answered(&mut self, number: u64, verdict: Verdict) {
+    fn answered(&mut self, number: u64, outcome: Outcome) {
         let Some(operation) = self.history.get_mut(&number) else { return };
         operation.ended = self.now;
-        operation.answered = match verdict {
-            Verdict::Taken => Answered::Taken,
-            Verdict::Outdated => Answered::Outdated,
-            Verdict::Invalid(_) => Answered::Invalid,
-            Verdict::Open => Answered::Open,
-            Verdict::Newest(state) => Answered::Newest(state.version()),
+        operation.answered = match outcome {
+            Outcome::Taken => Answered::Taken,
+            Outcome::Outdated => Answered::Outdated,
+            Outcome::Invalid(_) => Answered::Invalid,
+            Outcome::Open => Answered::Open,
+            Outcome::Newest(state) => Answered::Newest(state.version()),
         };
         if let (Answered::Taken, Some(asked)) = (operation.answered, self.asked.get(&number)) {
             self.taken.push((asked.digest, asked.version));
@@ -510,23 +510,23 @@
         }
     }
 
-    /// All places, a line each.
+    /// All indexes, a line each.
     fn told(&self) -> String {
-        let line = |(place, entry): (&Place, &Entry)| match entry {
+        let line = |(index, entry): (&LogIndex, &Entry)| match entry {
             Entry::Replace { built_on, body } => {
-                format!("{place}: {} on {built_on:08x}\n", String::from_utf8_lossy(&body[12..20]))
+                format!("{index}: {} on {built_on:08x}\n", String::from_utf8_lossy(&body[12..20]))
             }
-            other => format!("{place}: {other:?}\n"),
+            other => format!("{index}: {other:?}\n"),
         };
         self.chosen.iter().map(line).collect()
     }
 
     fn judge(&mut self) {
         let newest = self.machines.iter().filter_map(|machine| machine.replica.as_ref());
-        let Some(newest) = newest.max_by_key(|replica| replica.state().place) else { return };
+        let Some(newest) = newest.max_by_key(|replica| replica.state().index) else { return };
         let state = newest.state().clone();
-        if !self.machines.iter().any(|machine| machine.replica.as_ref().is_some_and(Replica::holds)) {
-            self.broken.push("8 s of calm and nobody holds the duty".to_owned());
+        if !self.machines.iter().any(|machine| machine.replica.as_ref().is_some_and(Replica::leads)) {
+            self.broken.push("8 s of calm and nobody holds leadership".to_owned());
         }
         for (digest, version) in &self.taken {
             if state.taken.len() < 500 && state.taken.get(version) != Some(digest) {
@@ -555,18 +555,18 @@
 /// What a store does with a record.
 fn keep(kept: &mut Recovered, record: Record) {
     match record {
-        Record::Promised(epoch) => kept.promised = kept.promised.max(epoch),
-        Record::Accepted { epoch, place, entry } => {
-            kept.promised = kept.promised.max(epoch);
-            while kept.state.place + 1 < place {
+        Record::Promised(term) => kept.promised = kept.promised.max(term),
+        Record::Accepted { term, index, entry } => {
+            kept.promised = kept.promised.max(term);
+            while kept.state.index + 1 < index {
                 // What stands before another was chosen when that was accepted.
                 let Some((_, before)) = kept.open.take() else { break };
                 kept.state.apply(&before);
             }
-            kept.open = Some((epoch, entry));
+            kept.open = Some((term, entry));
         }
-        Record::Chosen(Chosen { place, entry }) => {
-            while kept.state.place + 1 < place {
+        Record::Chosen(Chosen { index, entry }) => {
+            while kept.state.index + 1 < index {
                 let Some((_, before)) = kept.open.take() else { break };
                 kept.state.apply(&before);
             }
@@ -577,7 +577,7 @@
     }
 }
 
-/// How a holder is lost.
+/// How a leader is lost.
 #[derive(Debug, Clone, Copy)]
 pub enum Loss {
     Kill,
@@ -586,27 +586,27 @@
 }
 
 impl World {
-    /// In calm, loses the holder at a drawn moment. Returns how long it takes until another holds the duty.
-    pub fn lose_holder(&mut self, loss: Loss) -> Option<Millis> {
+    /// In calm, loses the leader at a drawn moment. Returns how long it takes until another holds leadership.
+    pub fn lose_leader(&mut self, loss: Loss) -> Option<Millis> {
         self.calm = true;
         let at = 2_000 + self.draw(500);
         self.play_until(at, |_| false);
-        let holder = (0..self.machines.len()).find(|one| self.holds(*one))?;
+        let leader = (0..self.machines.len()).find(|one| self.leads(*one))?;
         match loss {
             Loss::Kill => {
-                self.machines[holder].replica = None;
-                self.machines[holder].life += 1;
+                self.machines[leader].replica = None;
+                self.machines[leader].life += 1;
             }
-            Loss::Freeze => self.machines[holder].frozen_until = self.now + 10_000,
+            Loss::Freeze => self.machines[leader].frozen_until = self.now + 10_000,
             Loss::Cut => {
-                for other in (0..self.machines.len()).filter(|other| *other != holder) {
-                    self.machines[holder].cut.insert(other);
-                    self.machines[other].cut.insert(holder);
+                for other in (0..self.machines.len()).filter(|other| *other != leader) {
+                    self.machines[leader].cut.insert(other);
+                    self.machines[other].cut.insert(leader);
                 }
             }
         }
         let lost = self.now;
-        let another = |world: &World| (0..world.machines.len()).any(|one| one != holder && world.holds(one));
+        let another = |world: &World| (0..world.machines.len()).any(|one| one != leader && world.leads(one));
         self.play_until(lost + 8_000, another);
         another(self).then(|| self.now - lost)
     }
@@ -621,65 +621,65 @@
 }
 
 /// What one voter of three does, step by step, where the seeds would seldom meet the moment. Returns whether it held the
-/// duty before its own promise was synced, whether it did once that was, and whether it judged before and behind the word
+/// leadership before its own promise was synced, whether it did once that was, and whether it judged before and behind the word
 /// of a majority.
 pub fn one_voter_step_by_step() -> [bool; 4] {
     let id = |one: usize| VoterId { ip: ip(one), disk: one as u64 + 1 };
     let state = State::genesis((0..3).map(id).collect(), 4);
     let found = Recovered { promised: (0, 0), state, open: None };
     let mut replica = Replica::new(ip(0), 1, Some(found), 0);
-    let mut epoch = None;
+    let mut term = None;
     for now in [100, 200, 300] {
         for action in replica.tick(now) {
-            if let Action::Send(_, Message::Prepare { epoch: asked }) = action {
-                epoch = Some(asked);
+            if let Action::Send(_, Message::Prepare { term: asked }) = action {
+                term = Some(asked);
             }
         }
     }
-    let epoch = epoch.expect("the first in the order stands");
-    let promise = Message::Promise { epoch, place: 1, open: None };
+    let term = term.expect("the first in the order stands");
+    let promise = Message::Promise { term, index: 1, open: None };
     let mut actions = replica.hear(301, id(1), promise.clone());
     actions.extend(replica.hear(302, id(2), promise));
-    let early = replica.holds();
+    let early = replica.leads();
     let write = actions.iter().find_map(|action| match action {
         Action::Write(number, Record::Promised(_)) => Some(*number),
         _ => None,
     });
     replica.written(303, write.expect("it writes its own promise"), true);
-    let held = replica.holds();
+    let held = replica.leads();
     let answers = |actions: &[Action]| actions.iter().any(|action| matches!(action, Action::Answer(9, _)));
     let asked = replica.ask(304, 9, Command::Read);
-    let beat = asked.iter().find_map(|action| match action {
-        Action::Send(_, Message::Lead { beat, .. }) => Some(*beat),
+    let heartbeat = asked.iter().find_map(|action| match action {
+        Action::Send(_, Message::Lead { heartbeat, .. }) => Some(*heartbeat),
         _ => None,
     });
-    let beat = beat.expect("it asks the others");
+    let heartbeat = heartbeat.expect("it asks the others");
     let unsure = answers(&asked);
-    let sure = answers(&replica.hear(305, id(1), Message::Follow { epoch, place: 1, beat }));
+    let sure = answers(&replica.hear(305, id(1), Message::Follow { term, index: 1, heartbeat }));
     [early, held, unsure, sure]
 }
 
-/// A voter that is alone holds the duty and is asked for two changes at once, each of which would let another machine in.
+/// A voter that is alone holds leadership and is asked for two changes at once, each of which would let another machine in.
 /// What it answers to both.
-pub fn two_changes_at_once() -> [Option<Verdict>; 2] {
+pub fn two_changes_at_once() -> [Option<Outcome>; 2] {
     let id = |one: usize| VoterId { ip: ip(one), disk: one as u64 + 1 };
     let state = State::genesis(vec![id(0)], 4);
     let mut replica = Replica::new(ip(0), 1, Some(Recovered { promised: (0, 0), state, open: None }), 0);
     let mut answers = [None, None];
     let mut actions = Vec::new();
-    // Alone it holds the duty as soon as its promise is synced.
+    // Alone it holds leadership as soon as its promise is synced.
     for now in 100..400 {
         let mut more = if now % 50 == 0 { replica.tick(now) } else { Vec::new() };
         for action in actions.drain(..) {
             match action {
                 Action::Write(number, _) => more.extend(replica.written(now, number, true)),
-                Action::Answer(number @ 3..=4, verdict) => answers[number as usize - 3] = Some(verdict),
+                Action::Answer(number @ 3..=4, outcome) => answers[number as usize - 3] = Some(outcome),
                 // The one that was let in accepts what it is asked to.
-                Action::Send(to, Message::Accept { epoch, place, .. }) if to == ip(3) => {
-                    more.extend(replica.hear(now, id(3), Message::Accepted { epoch, place }));
+                Action::Send(to, Message::Accept { term, index, .. }) if to == ip(3) => {
+                    more.extend(replica.hear(now, id(3), Message::Accepted { term, index }));
                 }
-                Action::Send(to, Message::Lead { epoch, place, beat }) if to == ip(3) => {
-                    more.extend(replica.hear(now, id(3), Message::Follow { epoch, place, beat }));
+                Action::Send(to, Message::Lead { term, index, heartbeat }) if to == ip(3) => {
+                    more.extend(replica.hear(now, id(3), Message::Follow { term, index, heartbeat }));
                 }
                 _ => {}
             }
--- a/crates/timetable/tests/common/voters.rs
+++ b/crates/config-store/tests/common/voters.rs
@@ -7,14 +7,14 @@
 // Each test file has a use for a part of this.
 #![allow(dead_code)]
 
+use config_store::consensus::mutants::Mutant;
+use config_store::consensus::*;
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use timetable::chain::mutants::Mutant;
-use timetable::chain::*;
 
-/// A clock moves by so much at a time: longer than a holder that was heard counts as alive, shorter than what is taken
+/// A clock moves by so much at a time: longer than a leader that was heard counts as alive, shorter than what is taken
 /// for a machine that stood still.
 const LATER: Millis = 410;
 
@@ -38,7 +38,7 @@
     pub doubles: u8,
     /// Changes of who votes.
     pub changes: u8,
-    /// Whether the first voter holds the duty at the beginning and all have heard so; else nobody has said anything.
+    /// Whether the first voter holds leadership at the beginning and all have heard so; else nobody has said anything.
     pub is_held: bool,
     /// Steps from the beginning.
     pub depth: usize,
@@ -84,8 +84,8 @@
 pub struct Site {
     machines: Vec<Machine>,
     posts: BTreeSet<Post>,
-    /// What stands at each place, by whoever said so first.
-    chosen: BTreeMap<Place, Entry>,
+    /// What stands at each index, by whoever said so first.
+    chosen: BTreeMap<LogIndex, Entry>,
     words: u8,
     /// Digests of what was asked, by number; of reads the newest version acknowledged when they began.
     asked: BTreeMap<u64, u64>,
@@ -93,8 +93,8 @@
     acknowledged: BTreeMap<u64, u32>,
     refused: BTreeSet<u64>,
     left: Left,
-    /// Holders, by epoch and the life of whoever holds.
-    holders: BTreeSet<Epoch>,
+    /// Holders, by term and the life of whoever holds.
+    leaders: BTreeSet<Term>,
     pub broken: Option<&'static str>,
 }
 
@@ -121,10 +121,10 @@
     /// Killed; so many of its open writes reached the disk all the same.
     Crashes(usize, usize),
     Wiped(usize),
-    /// A word on top of what the machine knows, asked of whoever believes to hold the duty.
+    /// A word on top of what the machine knows, asked of whoever believes to hold leadership.
     Asked(usize),
     Read(usize),
-    /// Whoever holds the duty lets go of a disk that was lost, or lets the new one in.
+    /// Whoever holds leadership lets go of a disk that was lost, or lets the new one in.
     Changes(usize),
 }
 
@@ -150,7 +150,7 @@
 
 fn is_chosen(_mutant: Option<Mutant>) {
     #[cfg(feature = "mutants")]
-    timetable::chain::mutants::choose(_mutant);
+    config_store::consensus::mutants::choose(_mutant);
 }
 
 impl Site {
@@ -220,7 +220,7 @@
                 doubles: sizes.doubles,
                 changes: sizes.changes,
             },
-            holders: BTreeSet::new(),
+            leaders: BTreeSet::new(),
             broken: None,
         }
     }
@@ -241,32 +241,32 @@
                     self.posts.insert((number(from), self.id(one), Packet::Fetch));
                 }
                 Action::Write(number, record) => self.machines[one].writes.push((number, record)),
-                Action::Moved(Some(Chosen { place, entry })) => {
-                    let first = self.chosen.entry(place).or_insert_with(|| entry.clone());
+                Action::Moved(Some(Chosen { index, entry })) => {
+                    let first = self.chosen.entry(index).or_insert_with(|| entry.clone());
                     if *first != entry {
-                        self.broken = Some("two entries at one place");
+                        self.broken = Some("two entries at one index");
                     }
                 }
                 Action::Moved(None) => {}
-                Action::Answer(number, verdict) => self.answered(number, verdict),
+                Action::Answer(number, outcome) => self.answered(number, outcome),
             }
         }
-        if let (true, Some((epoch, _))) =
-            (self.machines[one].replica.holds(), self.machines[one].replica.holder(self.now(one)))
+        if let (true, Some((term, _))) =
+            (self.machines[one].replica.leads(), self.machines[one].replica.leader(self.now(one)))
         {
-            self.holders.insert(epoch);
+            self.leaders.insert(term);
         }
         if self.refused.iter().any(|digest| self.taken().any(|taken| taken == *digest)) {
             self.broken = Some("what was refused is in force");
         }
     }
 
-    /// Puts a message on its way. Of beats, and of answers to beats, under one epoch only the newest stays: an older one
+    /// Puts a message on its way. Of heartbeats, and of answers to heartbeats, under one term only the newest stays: an older one
     /// says less.
     fn post(&mut self, to: usize, from: VoterId, message: Message) {
         let under = |message: &Message| match message {
-            Message::Lead { epoch, .. } => Some((true, *epoch)),
-            Message::Follow { epoch, .. } => Some((false, *epoch)),
+            Message::Lead { term, .. } => Some((true, *term)),
+            Message::Follow { term, .. } => Some((false, *term)),
             _ => None,
         };
         if under(&message).is_some() {
@@ -286,18 +286,18 @@
         })
     }
 
-    fn answered(&mut self, number: u64, verdict: Verdict) {
-        match (verdict, self.asked.get(&number).copied(), self.reads.get(&number).copied()) {
-            (Verdict::Taken, Some(digest), _) => {
+    fn answered(&mut self, number: u64, outcome: Outcome) {
+        match (outcome, self.asked.get(&number).copied(), self.reads.get(&number).copied()) {
+            (Outcome::Taken, Some(digest), _) => {
                 if !self.taken().any(|taken| taken == digest) {
                     self.broken = Some("acknowledged and not chosen");
                 }
                 self.acknowledged.insert(digest, number as u32);
             }
-            (Verdict::Outdated | Verdict::Invalid(_), Some(digest), _) => {
+            (Outcome::Outdated | Outcome::Invalid(_), Some(digest), _) => {
                 self.refused.insert(digest);
             }
-            (Verdict::Newest(state), _, Some(newest)) if state.version() < newest => {
+            (Outcome::Newest(state), _, Some(newest)) if state.version() < newest => {
                 self.broken = Some("a read is older than what was acknowledged");
             }
             _ => {}
@@ -341,14 +341,14 @@
         }
         self.torn = false;
         match record {
-            Record::Promised(epoch) => self.kept.promised = self.kept.promised.max(epoch),
-            Record::Accepted { epoch, place, entry } => {
-                self.kept.promised = self.kept.promised.max(epoch);
-                self.reach(place);
-                self.kept.open = Some((epoch, entry));
+            Record::Promised(term) => self.kept.promised = self.kept.promised.max(term),
+            Record::Accepted { term, index, entry } => {
+                self.kept.promised = self.kept.promised.max(term);
+                self.reach(index);
+                self.kept.open = Some((term, entry));
             }
-            Record::Chosen(Chosen { place, entry }) => {
-                self.reach(place);
+            Record::Chosen(Chosen { index, entry }) => {
+                self.reach(index);
                 self.kept.open = None;
                 self.kept.state.apply(&entry);
             }
@@ -358,8 +358,8 @@
     }
 
     /// What stands before another was chosen when that was written.
-    fn reach(&mut self, place: Place) {
-        while self.kept.state.place + 1 < place {
+    fn reach(&mut self, index: LogIndex) {
+        while self.kept.state.index + 1 < index {
             let Some((_, before)) = self.kept.open.take() else { break };
             self.kept.state.apply(&before);
         }
@@ -399,7 +399,7 @@
             if left.wipes > 0 {
                 steps.push(Step::Wiped(one));
             }
-            if machine.replica.holds() {
+            if machine.replica.leads() {
                 if site.words < self.sizes.words {
                     steps.push(Step::Asked(one));
                 }
@@ -504,8 +504,8 @@
         vec![
             Property::always("the word holds", |_, site: &Site| site.broken.is_none()),
             Property::sometimes("a word is acknowledged", |_, site: &Site| !site.acknowledged.is_empty()),
-            Property::sometimes("another takes the duty", |model: &Voters, site: &Site| {
-                let disks: BTreeSet<u64> = site.holders.iter().map(|epoch| epoch.1).collect();
+            Property::sometimes("another takes leadership", |model: &Voters, site: &Site| {
+                let disks: BTreeSet<u64> = site.leaders.iter().map(|term| term.1).collect();
                 disks.len() >= 2 || model.sizes.laters < 2
             }),
         ]
@@ -520,8 +520,8 @@
             Packet::Fetch => {
                 // The answer is taken in at once: what it says is chosen, whenever it comes.
                 let (asker, source) = (number(from.ip), self.machines[to].replica.state().clone());
-                let place = self.machines[asker].replica.state().place;
-                let entries = self.machines[to].replica.since(place);
+                let index = self.machines[asker].replica.state().index;
+                let entries = self.machines[to].replica.since(index);
                 let now = self.now(asker);
                 let replica = &mut self.machines[asker].replica;
                 let actions = match entries {
--- a/crates/timetable/tests/configuration.rs
+++ b/crates/config-store/tests/configuration.rs
@@ -1,11 +1,11 @@
 //! The operator's configuration: what is refused, how a change applies, and what the doors read.
 
+use config_store::configuration::{
+    difference, Configuration, Difference, Document, Fault, Faults, Index, Kind, Limits, Version,
+};
 use serde_json::{json, Value};
 use std::time::Instant;
 use test_case::test_case;
-use timetable::configuration::{
-    difference, Configuration, Difference, Document, Fault, Faults, Index, Kind, Limits, Version,
-};
 
 const KEYS: [&str; 3] = ["xd9dnn2ctnfzs989anu6", "wsjnbanfqasnmgkcuyj8", "k0000000000000000003"];
 
--- a/crates/timetable/tests/chain.rs
+++ b/crates/config-store/tests/consensus_seeds.rs
@@ -1,5 +1,5 @@
 //! Seeds over the chain of the operator's words: loss, delay, repeats, kills, freezes, one-way cuts, full disks, lost
-//! disks, changes of voters. `TIMETABLE_SEEDS=100000` plays more, `TIMETABLE_FIRST` others.
+//! disks, changes of voters. `CONFIG_STORE_SEEDS=100000` plays more, `CONFIG_STORE_FIRST` others.
 
 mod common;
 
@@ -15,8 +15,8 @@
 #[test_case(Sizes { machines: 5, voters: 2, wipes: 0, long: 12_000 }; "two voters and three that are let in")]
 #[test_case(Sizes { machines: 8, voters: 8, wipes: 1, long: 8_000 }; "eight voters")]
 fn what_is_acknowledged_stays_and_what_is_refused_never_comes(sizes: Sizes) {
-    let first = number("TIMETABLE_FIRST", 0);
-    let last = first + number("TIMETABLE_SEEDS", 500);
+    let first = number("CONFIG_STORE_FIRST", 0);
+    let last = first + number("CONFIG_STORE_SEEDS", 500);
     let threads = std::thread::available_parallelism().map_or(2, usize::from);
     let lane = |lane: u64| {
         let (mut acknowledged, mut broken) = (0, Vec::new());
--- a/crates/timetable/tests/holder.rs
+++ b/crates/config-store/tests/leader_change.rs
@@ -1,4 +1,4 @@
-//! How long it takes until another voter holds the duty: 200 moments each of a kill, a freeze and a cut.
+//! How long it takes until another voter holds the role: 200 moments each of a kill, a freeze and a cut.
 
 mod common;
 
@@ -12,7 +12,7 @@
     let sizes = Sizes { machines: voters, voters, wipes: 0, long: 60_000 };
     for loss in [Loss::Kill, Loss::Freeze, Loss::Cut] {
         let mut times: Vec<u64> = (0..200)
-            .map(|seed| World::new(seed, sizes, None).lose_holder(loss).expect("another holds the duty"))
+            .map(|seed| World::new(seed, sizes, None).lose_leader(loss).expect("another holds leadership"))
             .collect();
         times.sort_unstable();
         println!(
--- a/crates/timetable/tests/duty.rs
+++ b/crates/config-store/tests/leadership.rs
@@ -1,4 +1,4 @@
-//! One voter, step by step: it holds the duty only once its own promise is on disk, and judges only once a majority has
+//! One voter, step by step: it holds leadership only once its own promise is on disk, and judges only once a majority has
 //! answered since it was asked.
 
 mod common;
@@ -6,7 +6,7 @@
 #[test]
 fn the_duty_waits_for_the_own_promise_and_a_judgement_for_a_majority() {
     let [early, held, unsure, sure] = common::one_voter_step_by_step();
-    assert!(!early, "it holds the duty before its own promise is synced");
+    assert!(!early, "it holds leadership before its own promise is synced");
     assert!(held, "with it, it does");
     assert!(!unsure, "it judges before a majority has answered");
     assert!(sure, "with that, it does");
@@ -16,6 +16,6 @@
 #[test]
 fn a_change_of_voters_that_was_overtaken_by_another_is_refused() {
     let [first, second] = common::two_changes_at_once();
-    assert_eq!(first, Some(timetable::chain::Verdict::Taken));
-    assert_eq!(second, Some(timetable::chain::Verdict::Outdated));
+    assert_eq!(first, Some(config_store::consensus::Outcome::Taken));
+    assert_eq!(second, Some(config_store::consensus::Outcome::Outdated));
 }
--- a/crates/timetable/tests/model.rs
+++ b/crates/config-store/tests/model.rs
@@ -1,6 +1,6 @@
 //! The chain's core itself, explored exhaustively within bounds: every order of what may happen to three and four voters.
 //!
-//! More of it: `cargo test --release -p timetable --test model -- --ignored --nocapture --test-threads 1`
+//! More of it: `cargo test --release -p config_store --test model -- --ignored --nocapture --test-threads 1`
 
 #[path = "common/voters.rs"]
 mod voters;
@@ -21,8 +21,8 @@
 
 const HELD: Sizes = Sizes { is_held: true, ..CALM };
 
-#[test_case(Sizes { depth: 10, ..CALM }; "the first of all takes the duty")]
-#[test_case(HELD; "the holder falls silent with a word out")]
+#[test_case(Sizes { depth: 10, ..CALM }; "the first of all takes leadership")]
+#[test_case(HELD; "the leader falls silent with a word out")]
 #[test_case(Sizes { doubles: 1, depth: 10, ..HELD }; "a message comes twice")]
 fn one_entry_a_place_in_any_order_of_events(sizes: Sizes) {
     nothing_breaks(sizes, 4_000);
--- a/crates/timetable/tests/mutants.rs
+++ b/crates/config-store/tests/mutants.rs
@@ -6,7 +6,7 @@
 mod voters;
 
 use common::{one_voter_step_by_step, Sizes, World};
-use timetable::chain::mutants::{choose, Mutant, ALL};
+use config_store::consensus::mutants::{choose, Mutant, ALL};
 use voters::{walk, Sizes as ModelSizes, CALM};
 
 #[test]
--- a/crates/timetable/tests/store.rs
+++ b/crates/config-store/tests/store.rs
@@ -1,16 +1,16 @@
 //! A voter's store: what was synced is found again, whatever came behind it; what is none of this format is refused by name.
 
+use config_store::consensus::{Chosen, Entry, Record, Recovered, Replica, State, VoterId};
+use config_store::store::{Fault, Store, FILE};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use timetable::chain::{Chosen, Entry, Record, Recovered, Replica, State, VoterId};
-use timetable::store::{Fault, Store, FILE};
 
 /// A folder of its own, taken away at the end.
 struct Folder(PathBuf);
 
 impl Folder {
     fn new(name: &str) -> Folder {
-        let folder = std::env::temp_dir().join(format!("timetable-{}-{name}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("config_store-{}-{name}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("a folder");
         Folder(folder)
@@ -41,15 +41,15 @@
     Entry::Replace { built_on, body: Arc::new(text.into_bytes()) }
 }
 
-fn accepted(epoch: u64, place: u64, entry: Entry) -> Record {
-    Record::Accepted { epoch: (epoch, 1), place, entry }
+fn accepted(term: u64, index: u64, entry: Entry) -> Record {
+    Record::Accepted { term: (term, 1), index, entry }
 }
 
 #[test]
 fn a_new_store_has_its_number_and_nothing_else_and_keeps_the_number() {
     let folder = Folder::new("new");
     let (store, found) = open(&folder.0);
-    assert_eq!((store.disk(), found.state.place, found.promised), (77, 0, (0, 0)));
+    assert_eq!((store.disk(), found.state.index, found.promised), (77, 0, (0, 0)));
     drop(store);
     assert_eq!(Store::open(&folder.0, 99).expect("again").0.disk(), 77, "the number that it was given first");
 }
@@ -64,7 +64,7 @@
     }
     drop(store);
     let (_, found) = open(&folder.0);
-    assert_eq!((found.state.place, found.state.version()), (2, 5));
+    assert_eq!((found.state.index, found.state.version()), (2, 5));
     assert_eq!(found.open, Some(((4, 1), word(9, 5))));
     assert_eq!(found.promised, (4, 1));
     // And a replica goes on from there.
@@ -76,13 +76,13 @@
 fn what_is_chosen_goes_before_what_was_accepted() {
     let folder = Folder::new("chosen");
     let (mut store, _) = open(&folder.0);
-    let chosen = Record::Chosen(Chosen { place: 2, entry: word(7, 0) });
+    let chosen = Record::Chosen(Chosen { index: 2, entry: word(7, 0) });
     for record in [whole(), accepted(2, 2, word(5, 0)), chosen] {
         store.keep(&record).expect("kept");
     }
     drop(store);
     let (_, found) = open(&folder.0);
-    assert_eq!((found.state.place, found.state.version(), found.open), (2, 7, None));
+    assert_eq!((found.state.index, found.state.version(), found.open), (2, 7, None));
 }
 
 #[test]
--- a/crates/junction/src/command.rs
+++ b/crates/junction/src/command.rs
@@ -2,12 +2,12 @@
 
 use crate::run;
 use crate::settings::Settings;
+use config_store::configuration::{difference, Document};
+use config_store::store::Store;
 use gumdrop::Options;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
-use timetable::configuration::{difference, Document};
-use timetable::store::Store;
 
 /// Words on the command line.
 #[derive(Debug, Options)]
@@ -166,7 +166,7 @@
         }
         Verb::Store(File { file }) => {
             let folder = named(file)?;
-            if !folder.join(timetable::store::FILE).is_file() {
+            if !folder.join(config_store::store::FILE).is_file() {
                 return Err(miette::miette!(
                     help = "name the data folder",
                     "{}: no store is there",
@@ -175,12 +175,12 @@
             }
             let (store, found) = Store::open(&folder, 0)?;
             println!("disk {:016x}, promised {:?}", store.disk(), found.promised);
-            println!("place {}, version {:08x}", found.state.place, found.state.version());
+            println!("index {}, version {:08x}", found.state.index, found.state.version());
             for voter in &found.state.voters {
                 println!("voter {} with disk {:016x}", voter.ip, voter.disk);
             }
-            if let Some((epoch, _)) = found.open {
-                println!("place {} is open, accepted under {epoch:?}", found.state.place + 1);
+            if let Some((term, _)) = found.open {
+                println!("index {} is open, accepted under {term:?}", found.state.index + 1);
             }
             Ok(())
         }
--- a/crates/junction/src/disk.rs
+++ b/crates/junction/src/disk.rs
@@ -1,9 +1,9 @@
 //! The disk's thread: the one owner of a voter's store. A disk that hangs holds up this thread and nobody else.
 
+use config_store::consensus::{Record, Recovered, State};
+use config_store::store::Store;
 use std::path::PathBuf;
 use std::sync::mpsc as std_mpsc;
-use timetable::chain::{Record, Recovered, State};
-use timetable::store::Store;
 use tokio::sync::mpsc;
 
 /// What the disk says.
--- a/crates/junction/src/run.rs
+++ b/crates/junction/src/run.rs
@@ -93,7 +93,7 @@
                 }
                 Action::Backend(backend) => self.platform.backend(&backend),
                 Action::Dropped(id) => self.platform.dropped(&id),
-                Action::Lent(epoch, number, loans) => self.platform.lent(epoch, number, &loans),
+                Action::Lent(term, number, loans) => self.platform.lent(term, number, &loans),
             }
         }
     }
--- a/crates/junction/src/status.rs
+++ b/crates/junction/src/status.rs
@@ -28,15 +28,15 @@
     let word = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
     let holder = match &told["holder"] {
         Value::Null => "nobody holds the duty".to_owned(),
-        holder => format!("{} holds the duty under epoch {}", word(&holder["ip"]), holder["epoch"]),
+        holder => format!("{} holds the duty under term {}", word(&holder["ip"]), holder["term"]),
     };
     let voters: Vec<String> =
         told["voters"].as_array().into_iter().flatten().map(|voter| word(&voter["ip"])).collect();
     let mut lines = format!(
-        "{address}: zone {}, version {} at place {}; {holder}; voters {}; backends {} ready, {} silent, {} emptying",
+        "{address}: zone {}, version {} at index {}; {holder}; voters {}; backends {} ready, {} silent, {} emptying",
         word(&told["zone"]),
         word(&told["version"]),
-        told["place"],
+        told["index"],
         voters.join(", "),
         told["backends"]["ready"],
         told["backends"]["silent"],
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -3,6 +3,7 @@
 use crate::service::Platform;
 use crate::shares::NOBODY;
 use crate::wire::{CUSTOMER, EXPECT_SERVER, TIME_LEFT, TRY_ID};
+use config_store::configuration::Route;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -10,7 +11,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use timetable::configuration::Route;
 use tokio::sync::mpsc;
 use turnstile::answers::{come_back, is_ambiguous, pass_on, text};
 use turnstile::backends::{Carried, Message, Uploading};
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -3,6 +3,8 @@
 use crate::shares::{Looker, Readings, Shares};
 use crate::terms::{Place, Terms, COLD_FOR};
 use crate::wire::Wire;
+use config_store::configuration::{Index, Limits};
+use config_store::consensus::State;
 use shunting::{Limit, Loan, Use};
 use signalbox::backends::{Backend, Stage};
 use springusher::{Event, Lifecycle, ListKind, ServerEntry, ServerId, Settings};
@@ -12,8 +14,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use timetable::chain::State;
-use timetable::configuration::{Index, Limits};
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use turnstile::backends::Backends;
@@ -135,7 +135,7 @@
     /// The state of the chain from now on. Older ones are passed over: this door never goes back.
     pub fn word(self: &Rc<Self>, state: &Arc<State>) {
         let before = self.state.borrow().clone();
-        if before.as_ref().is_some_and(|before| before.place >= state.place) {
+        if before.as_ref().is_some_and(|before| before.index >= state.index) {
             return;
         }
         self.state.replace(Some(state.clone()));
--- a/crates/platform/src/terms.rs
+++ b/crates/platform/src/terms.rs
@@ -1,8 +1,8 @@
 //! The decision module's settings for one service, from the operator's configuration.
 
+use config_store::configuration::{Configuration, Kind, Route};
 use springusher::{Class, Effect, Plan, Settings, Tuning};
 use std::collections::HashMap;
-use timetable::configuration::{Configuration, Kind, Route};
 
 /// A backend that starts has at least this part of its capacity, and is warm after so many milliseconds at the latest.
 const COLD_FROM: f64 = 0.5;
--- a/crates/signalbox/src/call.rs
+++ b/crates/signalbox/src/call.rs
@@ -37,7 +37,7 @@
     At(std::net::Ipv4Addr),
     /// What is asked for makes no sense; why.
     Invalid(String),
-    /// Another version is in place.
+    /// Another version is in index.
     Outdated,
     /// Nobody here can do it now; ask again, or ask another.
     NotNow(&'static str),
--- a/crates/signalbox/src/control.rs
+++ b/crates/signalbox/src/control.rs
@@ -4,12 +4,12 @@
 use crate::call::{Call, Reply};
 use crate::telegram::{Envelope, HolderTold, Telegram};
 use crate::Millis;
+use config_store::consensus::{self, Command, Outcome, Record, Recovered, Replica, State, Term};
 use shunting::{Lender, Limit, Loan, TenantId, Use};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use telegraph::views::{Aged, Card, Views};
-use timetable::chain::{self, Command, Epoch, Record, Recovered, Replica, State, Verdict};
 
 /// Between two hails, and between two while nobody is known yet.
 const HAIL: Millis = 400;
@@ -87,7 +87,7 @@
     /// A backend was not heard of for long.
     Dropped(String),
     /// What is lent upon a report.
-    Lent(Epoch, u32, Vec<Loan>),
+    Lent(Term, u32, Vec<Loan>),
 }
 
 /// A call that is answered once a majority of the core knows of it.
@@ -113,7 +113,7 @@
     lends: bool,
     limits: BTreeMap<TenantId, Limit>,
     /// Whom a machine without a vote takes for the holder, and when that was heard.
-    told: Option<(Epoch, Ipv4Addr, Millis)>,
+    told: Option<(Term, Ipv4Addr, Millis)>,
     /// Where this system's doors are called by backends; beats are asked for near where they come from.
     control_port: Option<u16>,
     hailed: Millis,
@@ -124,10 +124,10 @@
     repaired: Option<Millis>,
     /// When each machine was heard last, by its own words.
     pub(crate) heard: BTreeMap<Ipv4Addr, Millis>,
-    /// The place in the chain that each machine told last.
+    /// The index in the chain that each machine told last.
     pub(crate) places: BTreeMap<Ipv4Addr, u64>,
     /// Entries to tell a second time: when, to whom.
-    pub(crate) retell: Option<(Millis, Vec<Ipv4Addr>, Vec<chain::Chosen>)>,
+    pub(crate) retell: Option<(Millis, Vec<Ipv4Addr>, Vec<consensus::Chosen>)>,
     urgent: BTreeMap<u64, Urgent>,
     last_urgent: u64,
     /// Ends that a majority of the core knows of.
@@ -198,9 +198,9 @@
                 self.carry_out(done);
             }
             Event::Used(number, used) => match self.holder() {
-                Some((epoch, ip)) if ip == self.start.card.ip => {
+                Some((term, ip)) if ip == self.start.card.ip => {
                     let loans = self.lend(ip, self.start.card.life, &used);
-                    self.actions.push(Action::Lent(epoch, number, loans));
+                    self.actions.push(Action::Lent(term, number, loans));
                 }
                 Some((_, ip)) => self.send(ip, Telegram::Used(number, used)),
                 None => {}
@@ -227,11 +227,11 @@
     }
 
     /// Who holds the duty, as far as it is known here.
-    pub fn holder(&self) -> Option<(Epoch, Ipv4Addr)> {
-        let fresh = |(_, _, at): &(Epoch, Ipv4Addr, Millis)| self.now < at + HOLDER;
-        let told = self.told.filter(fresh).map(|(epoch, ip, _)| (epoch, ip));
-        // The higher epoch holds.
-        self.replica.holder(self.now).into_iter().chain(told).max_by_key(|(epoch, _)| *epoch)
+    pub fn holder(&self) -> Option<(Term, Ipv4Addr)> {
+        let fresh = |(_, _, at): &(Term, Ipv4Addr, Millis)| self.now < at + HOLDER;
+        let told = self.told.filter(fresh).map(|(term, ip, _)| (term, ip));
+        // The higher term holds.
+        self.replica.leader(self.now).into_iter().chain(told).max_by_key(|(term, _)| *term)
     }
 
     pub(crate) fn send(&mut self, to: Ipv4Addr, telegram: Telegram) {
@@ -319,29 +319,29 @@
     }
 
     pub(crate) fn hail(&mut self, to: Ipv4Addr, back: bool) {
-        let told = |(epoch, ip): (Epoch, Ipv4Addr)| -> HolderTold {
+        let told = |(term, ip): (Term, Ipv4Addr)| -> HolderTold {
             let at = self.told.filter(|(_, at_ip, _)| *at_ip == ip).map_or(self.now, |(_, _, at)| at);
-            let heard = if self.replica.holder(self.now).is_some() { self.now } else { at };
-            (epoch, ip, u32::try_from(self.now - heard).unwrap_or(u32::MAX))
+            let heard = if self.replica.leader(self.now).is_some() { self.now } else { at };
+            (term, ip, u32::try_from(self.now - heard).unwrap_or(u32::MAX))
         };
         let holder = self.holder().map(told);
-        let (place, digest) = (self.replica.state().place, self.table.digest());
+        let (index, digest) = (self.replica.state().index, self.table.digest());
         let cards = self.views.swap(self.now, to);
         let card = self.start.card.clone();
-        self.send(to, Telegram::Hail(card, place, digest, holder, cards, back));
+        self.send(to, Telegram::Hail(card, index, digest, holder, cards, back));
     }
 
     fn hear(&mut self, from: Ipv4Addr, life: u64, telegram: Telegram) {
         self.heard.insert(from, self.now);
         match telegram {
-            Telegram::Hail(card, place, digest, holder, cards, back) => {
-                self.hailed_by(card, (place, digest), holder, cards, back);
+            Telegram::Hail(card, index, digest, holder, cards, back) => {
+                self.hailed_by(card, (index, digest), holder, cards, back);
             }
             Telegram::Chain(disk, message) => {
-                let done = self.replica.hear(self.now, chain::VoterId { ip: from, disk }, message);
+                let done = self.replica.hear(self.now, consensus::VoterId { ip: from, disk }, message);
                 self.carry_out(done);
             }
-            Telegram::Fetch(place) => self.tell_news(from, place),
+            Telegram::Fetch(index) => self.tell_news(from, index),
             Telegram::News(entries) => {
                 let done = self.replica.learn(self.now, entries);
                 self.carry_out(done);
@@ -389,15 +389,15 @@
                 }
             }
             Telegram::Used(number, used) => {
-                if let Some((epoch, ip)) = self.replica.holder(self.now) {
+                if let Some((term, ip)) = self.replica.leader(self.now) {
                     if ip == self.start.card.ip {
                         let loans = self.lend(from, life, &used);
-                        self.send(from, Telegram::Lent(epoch, number, loans));
+                        self.send(from, Telegram::Lent(term, number, loans));
                     }
                 }
             }
-            Telegram::Lent(epoch, number, loans) => {
-                self.actions.push(Action::Lent(epoch, number, loans));
+            Telegram::Lent(term, number, loans) => {
+                self.actions.push(Action::Lent(term, number, loans));
             }
         }
     }
@@ -405,26 +405,26 @@
     fn hailed_by(
         &mut self,
         card: Card,
-        (place, digest): (u64, u64),
+        (index, digest): (u64, u64),
         holder: Option<HolderTold>,
         cards: Vec<Aged>,
         back: bool,
     ) {
         let from = card.ip;
-        self.places.insert(from, place);
+        self.places.insert(from, index);
         self.views.hear(self.now, (card, 0));
         for aged in cards {
             self.views.hear(self.now, aged);
         }
-        if let Some((epoch, ip, age)) = holder {
+        if let Some((term, ip, age)) = holder {
             let at = self.now.saturating_sub(Millis::from(age));
             let newer =
-                self.told.is_none_or(|(known, _, heard)| epoch > known || (epoch == known && at > heard));
+                self.told.is_none_or(|(known, _, heard)| term > known || (term == known && at > heard));
             if newer {
-                self.told = Some((epoch, ip, at));
+                self.told = Some((term, ip, at));
             }
         }
-        if place > self.replica.state().place {
+        if index > self.replica.state().index {
             self.fetch(from);
         }
         if back {
@@ -449,8 +449,8 @@
         let last = self.fetched.get(&from).copied();
         if last.is_none_or(|at| self.now >= at + FETCH) {
             self.fetched.insert(from, self.now);
-            let place = self.replica.state().place;
-            self.send(from, Telegram::Fetch(place));
+            let index = self.replica.state().index;
+            self.send(from, Telegram::Fetch(index));
         }
     }
 
@@ -523,8 +523,8 @@
         let near = self.control_port.filter(|_| record.zone != own.zone).and_then(|port| {
             let cards: Vec<Ipv4Addr> =
                 self.views.cards().filter(|card| card.zone == record.zone).map(|card| card.ip).collect();
-            let place = record.digest_of_name() as usize % cards.len().max(1);
-            cards.get(place).map(|ip| format!("{{\"reportTo\":\"{ip}:{port}\"}}").into_bytes())
+            let index = record.digest_of_name() as usize % cards.len().max(1);
+            cards.get(index).map(|ip| format!("{{\"reportTo\":\"{ip}:{port}\"}}").into_bytes())
         });
         match near {
             Some(body) => {
@@ -540,7 +540,7 @@
     }
 
     fn ask_holder(&mut self, number: u64, command: Command) {
-        if self.replica.holds() {
+        if self.replica.leads() {
             // Guards a word against being kept by fewer than it takes to bear a loss, while the core still meets.
             let few = self.replica.state().voters.len() < 2 * self.start.survive + 1;
             if few && self.now < self.born + 4_000 {
@@ -616,7 +616,7 @@
 
     /// Begins to lend when it holds the duty, and ends with it.
     fn watch_duty(&mut self) {
-        let holds = self.replica.holds();
+        let holds = self.replica.leads();
         if holds && !self.lends {
             self.lender.begin(self.now);
             // All whom it knows hear at once where to turn.
@@ -631,32 +631,32 @@
 
     fn lend(&mut self, ip: Ipv4Addr, life: u64, used: &[Use]) -> Vec<Loan> {
         // Guards against one that stood still and holds the duty no more: it lends only while a majority answers.
-        if !self.replica.is_sure(self.now) {
+        if !self.replica.has_quorum(self.now) {
             return Vec::new();
         }
         let limits = &self.limits;
         self.lender.lend(self.now, (ip, life), used, |tenant| limits.get(&tenant).copied())
     }
 
-    pub(crate) fn carry_out(&mut self, actions: Vec<chain::Action>) {
+    pub(crate) fn carry_out(&mut self, actions: Vec<consensus::Action>) {
         let mut moved = Vec::new();
         for action in actions {
             match action {
-                chain::Action::Send(to, message) => {
+                consensus::Action::Send(to, message) => {
                     let disk = self.start.card.disk;
                     self.send(to, Telegram::Chain(disk, message));
                 }
-                chain::Action::Write(number, record) => self.actions.push(Action::Write(number, record)),
-                chain::Action::Fetch(from) => self.fetch(from),
-                chain::Action::Moved(entry) => moved.push(entry),
-                chain::Action::Answer(number, verdict) if self.own.remove(&number) => drop(verdict),
-                chain::Action::Answer(number, verdict) => {
-                    let reply = match verdict {
-                        Verdict::Taken => Reply::Done(Arc::new(b"{}".to_vec())),
-                        Verdict::Outdated => Reply::Outdated,
-                        Verdict::Invalid(why) => Reply::Invalid(why),
-                        Verdict::Open => Reply::NotNow("the outcome is open"),
-                        Verdict::Newest(state) => Reply::Done(Arc::new(state.document.to_bytes())),
+                consensus::Action::Write(number, record) => self.actions.push(Action::Write(number, record)),
+                consensus::Action::Fetch(from) => self.fetch(from),
+                consensus::Action::Moved(entry) => moved.push(entry),
+                consensus::Action::Answer(number, outcome) if self.own.remove(&number) => drop(outcome),
+                consensus::Action::Answer(number, outcome) => {
+                    let reply = match outcome {
+                        Outcome::Taken => Reply::Done(Arc::new(b"{}".to_vec())),
+                        Outcome::Outdated => Reply::Outdated,
+                        Outcome::Invalid(why) => Reply::Invalid(why),
+                        Outcome::Open => Reply::NotNow("the outcome is open"),
+                        Outcome::Newest(state) => Reply::Done(Arc::new(state.document.to_bytes())),
                     };
                     self.reply(number, reply);
                 }
--- a/crates/signalbox/src/keeper.rs
+++ b/crates/signalbox/src/keeper.rs
@@ -3,8 +3,8 @@
 use crate::control::{Control, ALL};
 use crate::telegram::Telegram;
 use crate::Millis;
+use config_store::consensus::{Command, VoterId};
 use std::net::Ipv4Addr;
-use timetable::chain::{Command, VoterId};
 
 /// A machine that was heard so lately may be let in.
 const FRESH: Millis = 2_500;
@@ -19,7 +19,7 @@
     pub(crate) fn begin_chain(&mut self) {
         let card = &self.start.card;
         let is_first = self.start.first_start && self.start.seeds.first() == Some(&card.ip);
-        if !is_first || self.replica.state().place > 0 || self.now < MEET {
+        if !is_first || self.replica.state().index > 0 || self.now < MEET {
             return;
         }
         if self.begun.is_none() {
@@ -43,7 +43,7 @@
 
     /// Changes the set of voters by one, if it is not as it ought to be.
     pub(crate) fn keep_voters(&mut self) {
-        if !self.replica.holds() || !self.own.is_empty() {
+        if !self.replica.leads() || !self.own.is_empty() {
             return;
         }
         let state = self.replica.state().clone();
@@ -59,7 +59,7 @@
             .collect();
         let at = |ip: Ipv4Addr| state.voters.iter().position(|voter| voter.ip == ip);
         let has_lost_its_disk =
-            |voter: &VoterId| at(voter.ip).is_some_and(|place| state.voters[place].disk != voter.disk);
+            |voter: &VoterId| at(voter.ip).is_some_and(|index| state.voters[index].disk != voter.disk);
         if let Some(wiped) = of_core.iter().find(|voter| has_lost_its_disk(voter)) {
             // It knows nothing of what its disk promised: it goes before it comes back as another.
             voters.retain(|voter| voter.ip != wiped.ip);
@@ -70,7 +70,7 @@
             voters.retain(|voter| voter.ip != lost);
         }
         // Parts are cut anew with the voters, or once those who start together have met.
-        let met = slots > state.slots && self.replica.has_held(self.now, 1_500);
+        let met = slots > state.slots && self.replica.has_led(self.now, 1_500);
         if voters != state.voters || met {
             self.last_own += 1;
             self.own.insert(self.last_own);
@@ -90,7 +90,7 @@
         };
         let lost: Vec<Ipv4Addr> = voters.iter().map(|voter| voter.ip).filter(|ip| is_lost(*ip)).collect();
         let few_known = self.views.len() >= ALL * 2;
-        (voters.len() > 3 && !few_known && self.replica.has_held(self.now, LOST))
+        (voters.len() > 3 && !few_known && self.replica.has_led(self.now, LOST))
             .then(|| lost.first().copied())?
     }
 }
--- a/crates/signalbox/src/news.rs
+++ b/crates/signalbox/src/news.rs
@@ -3,8 +3,8 @@
 use crate::control::{Control, ALL};
 use crate::telegram::Telegram;
 use crate::Millis;
+use config_store::consensus::{Chosen, Entry, LogIndex};
 use std::net::Ipv4Addr;
-use timetable::chain::{Chosen, Entry, Place};
 
 /// Entries up to so many bytes are told at once; of longer ones it is told that they are there.
 const SHORT: usize = 8 * 1024;
@@ -24,13 +24,13 @@
 }
 
 impl Control {
-    /// Tells a machine what it lacks behind a place.
-    pub(crate) fn tell_news(&mut self, to: Ipv4Addr, place: Place) {
+    /// Tells a machine what it lacks behind a index.
+    pub(crate) fn tell_news(&mut self, to: Ipv4Addr, index: LogIndex) {
         let state = self.replica.state().clone();
-        if place >= state.place {
+        if index >= state.index {
             return;
         }
-        let telegram = match self.replica.since(place) {
+        let telegram = match self.replica.since(index) {
             Some(entries) => Telegram::News(entries),
             None => Telegram::Whole(state),
         };
@@ -41,7 +41,7 @@
     pub(crate) fn spread_news(&mut self, entries: Vec<Chosen>) {
         let few = self.views.len() <= ALL;
         let is_short = !entries.is_empty() && size(&entries) <= SHORT;
-        let most = match (self.replica.holds(), few) {
+        let most = match (self.replica.leads(), few) {
             (true, true) => ALL,
             (true, false) if is_short => SOME,
             (false, true) => return,
@@ -52,7 +52,7 @@
         // Of long ones it is told only that they are there.
         let entries = if is_short { entries } else { Vec::new() };
         self.tell_entries(&to, &entries);
-        self.retell = match (self.replica.holds(), few) {
+        self.retell = match (self.replica.leads(), few) {
             (true, true) => Some((self.now + RETELL, to, entries)),
             // Others than those who were told first: some of them nobody drew.
             (true, false) => Some((self.now + RETELL, self.views.draw(most, |_| true), entries)),
--- a/crates/signalbox/src/status.rs
+++ b/crates/signalbox/src/status.rs
@@ -15,12 +15,12 @@
             .heard
             .iter()
             .map(|(ip, at)| {
-                let place = self.places.get(ip);
+                let index = self.places.get(ip);
                 json!({
                     "ip": ip,
                     "zone": self.views.card(*ip).map(|card| card.zone.as_str()),
-                    "place": place,
-                    "behind": place.map(|place| state.place.saturating_sub(*place)),
+                    "index": index,
+                    "behind": index.map(|index| state.index.saturating_sub(*index)),
                     "heardMsAgo": now.saturating_sub(*at),
                 })
             })
@@ -34,9 +34,9 @@
             "ip": me.ip,
             "zone": me.zone,
             "version": state.document.version().to_string(),
-            "place": state.place,
+            "index": state.index,
             "votes": self.replica.votes(),
-            "holder": self.holder().map(|(epoch, ip)| json!({ "ip": ip, "epoch": epoch.0 })),
+            "holder": self.holder().map(|(term, ip)| json!({ "ip": ip, "term": term.0 })),
             "voters": voters,
             "parts": state.slots,
             "doors": doors,
--- a/crates/signalbox/src/telegram.rs
+++ b/crates/signalbox/src/telegram.rs
@@ -2,30 +2,30 @@
 //! they say.
 
 use crate::backends::{Backend, RANGES};
+use config_store::consensus::{Chosen, LogIndex, Message, State, Term};
 use serde::{Deserialize, Serialize};
 use shunting::{Loan, Use};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use telegraph::views::{Aged, Card};
-use timetable::chain::{Chosen, Epoch, Message, Place, State};
 
-/// Who holds the duty, under which epoch, and how many milliseconds ago it was heard.
-pub type HolderTold = (Epoch, Ipv4Addr, u32);
+/// Who holds the duty, under which term, and how many milliseconds ago it was heard.
+pub type HolderTold = (Term, Ipv4Addr, u32);
 
 /// One thing said.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Telegram {
-    /// A door tells of itself: its place in the chain, the digest of its table, who holds the duty, some cards, and
+    /// A door tells of itself: its index in the chain, the digest of its table, who holds the duty, some cards, and
     /// whether it wants the same back.
     #[serde(rename = "h")]
-    Hail(Card, Place, u64, Option<HolderTold>, Vec<Aged>, bool),
+    Hail(Card, LogIndex, u64, Option<HolderTold>, Vec<Aged>, bool),
     /// Between voters; the number of the sender's disk.
     #[serde(rename = "c")]
     Chain(u64, Message),
-    /// The entries behind this place, please.
+    /// The entries behind this index, please.
     #[serde(rename = "f")]
-    Fetch(Place),
-    /// Entries that are chosen, from a place on.
+    Fetch(LogIndex),
+    /// Entries that are chosen, from a index on.
     #[serde(rename = "n")]
     News(Vec<Chosen>),
     /// The whole state, as the entries are no longer kept.
@@ -46,9 +46,9 @@
     /// A door's counts, to the holder: number, counts.
     #[serde(rename = "u")]
     Used(u32, Vec<Use>),
-    /// What is lent upon a report: epoch, number, loans.
+    /// What is lent upon a report: term, number, loans.
     #[serde(rename = "l")]
-    Lent(Epoch, u32, Vec<Loan>),
+    Lent(Term, u32, Vec<Loan>),
 }
 
 /// A telegram with its sender: address and life.
--- a/crates/signalbox/tests/world/callers.rs
+++ b/crates/signalbox/tests/world/callers.rs
@@ -3,11 +3,11 @@
 
 use super::script::{Ask, Flaw, Millis};
 use super::{machine, Step, World, BEAT, CALLER};
+use config_store::consensus::digest;
 use serde_json::{json, Value};
 use signalbox::call::{Call, Reply};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use timetable::chain::digest;
 
 /// So long an operator goes on, and a backend that leaves.
 const OPERATOR: Millis = 15_000;
@@ -299,9 +299,9 @@
 fn body(is_whole: bool, version: u32, flaw: Option<Flaw>, routes: usize, name: &str) -> Vec<u8> {
     let route = |number: usize| {
         let unknown = flaw == Some(Flaw::UnknownService) && number == 0;
-        let place = if flaw == Some(Flaw::PrefixTwice) { 0 } else { number };
+        let index = if flaw == Some(Flaw::PrefixTwice) { 0 } else { number };
         json!({
-            "name": format!("r-{number}"), "pathStart": format!("/p{place}/"), "kind": "safe", "giveUpS": 2,
+            "name": format!("r-{number}"), "pathStart": format!("/p{index}/"), "kind": "safe", "giveUpS": 2,
             "goalS": 0.3, "rank": 1, "service": if unknown { "nobody" } else { "svc" }, "tries": 2,
             "public": false
         })
--- a/crates/signalbox/tests/world/judge.rs
+++ b/crates/signalbox/tests/world/judge.rs
@@ -5,10 +5,10 @@
 //! machine of the core that reaches more than half of it), and that of the core for `inTouchS` = 3 s.
 
 use super::script::Millis;
+use config_store::consensus::{Chosen, Entry, LogIndex, State};
 use signalbox::backends::{Backend, Stage};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use timetable::chain::{Chosen, Entry, Place, State};
 
 const KNOWN_WITHIN: Millis = 1_000;
 const OWN: Millis = 1_000;
@@ -28,8 +28,8 @@
 
 pub struct Judge {
     seen: Vec<Seen>,
-    states: BTreeMap<Place, Arc<State>>,
-    entries: BTreeMap<Place, Entry>,
+    states: BTreeMap<LogIndex, Arc<State>>,
+    entries: BTreeMap<LogIndex, Entry>,
     core_trouble: Millis,
     /// Acknowledged: version, digest, the version below, when.
     pub acknowledged: Vec<(u32, u64, u32, Millis)>,
@@ -119,17 +119,17 @@
     /// A machine goes by this state from now on.
     pub fn word(&mut self, one: usize, state: &Arc<State>, now: Millis) {
         if let Some(before) = &self.seen[one].state {
-            if before.version() > state.version() || before.place > state.place {
-                let (from, to) = ((before.place, before.version()), (state.place, state.version()));
-                self.breaks(now, format!("machine {one} goes back from (place, version) {from:?} to {to:?}"));
+            if before.version() > state.version() || before.index > state.index {
+                let (from, to) = ((before.index, before.version()), (state.index, state.version()));
+                self.breaks(now, format!("machine {one} goes back from (index, version) {from:?} to {to:?}"));
             }
         }
         self.seen[one].state = Some(state.clone());
         self.goes_by.entry((one, state.version())).or_insert(now);
-        let known = self.states.entry(state.place).or_insert_with(|| state.clone()).clone();
+        let known = self.states.entry(state.index).or_insert_with(|| state.clone()).clone();
         if !Arc::ptr_eq(&known, state) && *known != **state {
-            let place = state.place;
-            let told = format!("machine {one} has another state at place {place}: {}", differ(&known, state));
+            let index = state.index;
+            let told = format!("machine {one} has another state at index {index}: {}", differ(&known, state));
             self.breaks(now, told);
         }
         for digest in state.taken.values() {
@@ -143,10 +143,10 @@
 
     /// A machine tells that these entries are chosen.
     pub fn chosen(&mut self, one: usize, entries: &[Chosen], now: Millis) {
-        for Chosen { place, entry } in entries {
-            let known = self.entries.entry(*place).or_insert_with(|| entry.clone());
+        for Chosen { index, entry } in entries {
+            let known = self.entries.entry(*index).or_insert_with(|| entry.clone());
             if known != entry {
-                let told = format!("machine {one} tells another entry at place {place}");
+                let told = format!("machine {one} tells another entry at index {index}");
                 self.breaks(now, told);
             }
         }
--- a/crates/signalbox/tests/world/mod.rs
+++ b/crates/signalbox/tests/world/mod.rs
@@ -10,6 +10,7 @@
 pub mod script;
 
 use callers::Callers;
+use config_store::consensus::{Chosen, Entry, Message, Record, Recovered, State};
 use judge::Judge;
 use oorandom::Rand64;
 use script::{Line, Millis, Script, Setup};
@@ -19,7 +20,6 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use telegraph::views::Card;
-use timetable::chain::{Chosen, Entry, Message, Record, Recovered, State};
 
 /// Between two ticks of a process; between two looks of the judge; between two beats of a backend.
 const TICK: Millis = 60;
@@ -510,21 +510,21 @@
     }
     let kept = &mut store.kept;
     // What stands before another was chosen when that was accepted.
-    let catch_up = |kept: &mut Recovered, place: u64| {
-        while kept.state.place + 1 < place {
+    let catch_up = |kept: &mut Recovered, index: u64| {
+        while kept.state.index + 1 < index {
             let Some((_, before)) = kept.open.take() else { break };
             kept.state.apply(&before);
         }
     };
     match record {
-        Record::Promised(epoch) => kept.promised = kept.promised.max(epoch),
-        Record::Accepted { epoch, place, entry } => {
-            kept.promised = kept.promised.max(epoch);
-            catch_up(kept, place);
-            kept.open = Some((epoch, entry));
-        }
-        Record::Chosen(Chosen { place, entry }) => {
-            catch_up(kept, place);
+        Record::Promised(term) => kept.promised = kept.promised.max(term),
+        Record::Accepted { term, index, entry } => {
+            kept.promised = kept.promised.max(term);
+            catch_up(kept, index);
+            kept.open = Some((term, entry));
+        }
+        Record::Chosen(Chosen { index, entry }) => {
+            catch_up(kept, index);
             kept.open = None;
             kept.state.apply(&entry);
         }
--- a/crates/signalbox/tests/world/play.rs
+++ b/crates/signalbox/tests/world/play.rs
@@ -3,9 +3,9 @@
 use super::callers::What;
 use super::script::{Cut, Disk, Expect, Millis, Statement, When};
 use super::{ip, Step, World};
+use config_store::consensus::State;
 use serde_json::Value;
 use signalbox::backends::Stage;
-use timetable::chain::State;
 
 /// After the last line, unless the scenario says how long it lasts.
 const REST: Millis = 6_000;
@@ -49,14 +49,14 @@
     /// How many disks have what was put under a name.
     fn kept_by(&self, name: &str) -> usize {
         let Some(put) = self.callers.put(name) else { return 0 };
-        let holds = |entry: &timetable::chain::Entry| match entry {
-            timetable::chain::Entry::Replace { body, built_on }
-            | timetable::chain::Entry::Change { body, built_on } => {
+        let holds = |entry: &config_store::consensus::Entry| match entry {
+            config_store::consensus::Entry::Replace { body, built_on }
+            | config_store::consensus::Entry::Change { body, built_on } => {
                 *body == put.body && *built_on == put.built_on
             }
             _ => false,
         };
-        let has = |kept: &timetable::chain::Recovered| {
+        let has = |kept: &config_store::consensus::Recovered| {
             kept.state.taken.values().any(|taken| *taken == put.digest())
                 || kept.open.as_ref().is_some_and(|(_, entry)| holds(entry))
         };
@@ -71,11 +71,11 @@
         }
     }
 
-    /// The machine that holds the duty, under the highest epoch if several believe to.
+    /// The machine that holds the duty, under the highest term if several believe to.
     fn holder(&self) -> Option<usize> {
         let holds = |one: usize| {
             let control = self.machines[one].control.as_ref()?;
-            control.holder().filter(|(_, at)| self.runs(one) && *at == ip(one)).map(|(epoch, _)| (epoch, one))
+            control.holder().filter(|(_, at)| self.runs(one) && *at == ip(one)).map(|(term, _)| (term, one))
         };
         (0..self.machines.len()).filter_map(holds).max().map(|(_, one)| one)
     }
@@ -316,9 +316,9 @@
             }
         }
         let kept = self.machines.iter().map(|machine| &machine.store.kept.state);
-        let newest: Option<State> = kept.max_by_key(|state| state.place).cloned();
+        let newest: Option<State> = kept.max_by_key(|state| state.index).cloned();
         let known = self.judge.newest().map(|state| State::clone(&state));
-        if let Some(newest) = newest.into_iter().chain(known).max_by_key(|state| state.place) {
+        if let Some(newest) = newest.into_iter().chain(known).max_by_key(|state| state.index) {
             self.judge.at_end(&newest, self.now);
         }
         for index in 0..self.lines.len() {
