--- a/crates/config-store/src/consensus/mutants.rs
+++ b/crates/config-store/src/consensus/mutants.rs
@@ -23,10 +23,12 @@
     TornIgnored,
     /// A change of voters is taken up although another was chosen since it was asked for.
     VotersUnchecked,
+    /// An order that may have been taken long ago is refused.
+    ForgottenRefused,
 }
 
 /// Every fault.
-pub const ALL: [Mutant; 9] = [
+pub const ALL: [Mutant; 10] = [
     Mutant::SaidUnsynced,
     Mutant::OpenForgotten,
     Mutant::NoMajority,
@@ -36,6 +38,7 @@
     Mutant::JudgesUnsure,
     Mutant::TornIgnored,
     Mutant::VotersUnchecked,
+    Mutant::ForgottenRefused,
 ];
 
 #[cfg(feature = "mutants")]
--- a/crates/config-store/src/consensus/replica.rs
+++ b/crates/config-store/src/consensus/replica.rs
@@ -1,12 +1,15 @@
 //! One machine's copy of the chain: what it promised and accepted, and the state that all entries led to. A machine
 //! without a vote has one too, and only follows.
 
-use super::leadership::{Command, Role};
-use super::mutants::is_chosen;
-use super::*;
-use std::collections::VecDeque;
+use super::campaign::Role;
+use super::mutants::{is_chosen, Mutant};
+use super::{Action, Chosen, Command, Entry, LogIndex, Message, Millis, Record, State, Term, VoterId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
 
-/// Entries, and bytes of them, that are kept for those who follow from a index on; beyond that they take a whole state.
+/// Entries, and bytes of them, that are kept for those who follow from an index on; beyond that they take a whole state.
 const KEPT: usize = 256;
 const KEPT_BYTES: usize = 512 * 1024;
 /// A whole state is written each so many indexes, in the place of the entries that led there.
@@ -44,7 +47,7 @@
     kept: VecDeque<Chosen>,
     kept_bytes: usize,
     /// The leader that was heard last, under which term, and when.
-    heard: Option<(Term, Ipv4Addr, Millis)>,
+    pub(super) heard: Option<(Term, Ipv4Addr, Millis)>,
     /// Whether a leader was heard, or somebody stood, in this life.
     is_born: bool,
     /// Since when this voter would take leadership.
@@ -57,6 +60,8 @@
     last_write: u64,
     /// Whether a write failed: the next one carries the whole state first.
     torn: bool,
+    /// Whether this machine is about to end: then it campaigns no more.
+    is_leaving: bool,
     pub(super) actions: Vec<Action>,
     pub(super) now: Millis,
 }
@@ -80,6 +85,7 @@
             synced: (found.promised, ((0, 0), 0)),
             last_write: 0,
             torn: false,
+            is_leaving: false,
             actions: Vec::new(),
             now,
         }
@@ -104,7 +110,7 @@
     }
 
     /// Begins the chain, with this voter alone. Only one machine may ever be told to.
-    pub fn found(&mut self, now: Millis, slots: u32) -> Vec<Action> {
+    pub fn bootstrap(&mut self, now: Millis, slots: u32) -> Vec<Action> {
         self.now = now;
         if self.state.index == 0 && self.me.disk != 0 {
             self.state = Arc::new(State::genesis(vec![self.me], slots));
@@ -133,13 +139,19 @@
         }
     }
 
+    /// This machine is about to end: it campaigns no more, and hands leadership over if it leads.
+    pub fn leave(&mut self, now: Millis) -> Vec<Action> {
+        self.is_leaving = true;
+        self.hand_over(now)
+    }
+
     /// Whether this machine has a vote, as far as it knows.
     pub fn votes(&self) -> bool {
         self.me.disk != 0 && self.state.voters.contains(&self.me)
     }
 
-    /// The entries from behind a index on; `None` if they are no longer kept.
-    pub fn since(&self, index: LogIndex) -> Option<Vec<Chosen>> {
+    /// The entries from behind an index on; `None` if they are no longer kept.
+    pub fn entries_after(&self, index: LogIndex) -> Option<Vec<Chosen>> {
         let first = self.kept.front().map_or(self.state.index + 1, |chosen| chosen.index);
         (index + 1 >= first && index <= self.state.index)
             .then(|| self.kept.iter().filter(|chosen| chosen.index > index).cloned().collect())
@@ -154,12 +166,12 @@
                 self.advance(chosen.entry);
             }
         }
-        self.review();
+        self.review_campaign();
         self.done()
     }
 
     /// Takes in a whole state that is known to be chosen; an older one than this is passed over.
-    pub fn adopt(&mut self, now: Millis, state: State) -> Vec<Action> {
+    pub fn install_snapshot(&mut self, now: Millis, state: State) -> Vec<Action> {
         self.now = now;
         if state.index > self.state.index {
             self.overtaken(state.index, &Entry::Nothing);
@@ -171,7 +183,7 @@
             }
             self.actions.push(Action::Moved(None));
         }
-        self.review();
+        self.review_campaign();
         self.done()
     }
 
@@ -195,16 +207,16 @@
     }
 
     /// A message came from a voter.
-    pub fn hear(&mut self, now: Millis, from: VoterId, message: Message) -> Vec<Action> {
+    pub fn receive(&mut self, now: Millis, from: VoterId, message: Message) -> Vec<Action> {
         self.now = now;
-        self.take_in(from, message);
+        self.handle(from, message);
         self.done()
     }
 
     /// Asks something of the leader, which is this machine; the answer comes with the number.
     pub fn ask(&mut self, now: Millis, number: u64, command: Command) -> Vec<Action> {
         self.now = now;
-        self.asked(number, command);
+        self.enqueue(number, command);
         self.done()
     }
 
@@ -215,7 +227,7 @@
             (self.heard, self.quiet_since) = (None, now);
         }
         self.now = now;
-        if self.votes() && matches!(self.role, Role::Follower) {
+        if self.votes() && !self.is_leaving && matches!(self.role, Role::Follower) {
             let order = self.state.voters.iter().position(|voter| *voter == self.me).unwrap_or_default();
             let alone = self.state.voters.len() == 1;
             let (silence, step) = if self.is_born { (SILENCE, STEP) } else { (FIRST_SILENCE, FIRST_STEP) };
@@ -225,22 +237,24 @@
                 self.campaign();
             }
         }
-        self.tick_role();
+        self.tick_candidate();
+        self.tick_leader();
         self.done()
     }
 
-    fn done(&mut self) -> Vec<Action> {
+    pub(super) fn done(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
     }
 
-    pub(super) fn take_in(&mut self, from: VoterId, message: Message) {
+    pub(super) fn handle(&mut self, from: VoterId, message: Message) {
         match message {
             Message::Prepare { term } => self.prepare(from, term),
             Message::Accept { term, index, entry } => self.accept(from, term, index, entry),
-            Message::Lead { term, index, heartbeat } => self.lead(from, term, index, heartbeat),
+            Message::Lead { term, index, heartbeat } => self.heartbeat(from, term, index, heartbeat),
             Message::Promise { term, index, open } => self.promise(from, term, index, open),
             Message::Accepted { term, index } => self.accepted(from, term, index),
-            Message::Follow { term, heartbeat, .. } => self.followed(from, term, heartbeat),
+            Message::Follow { term, index, heartbeat } => self.followed(from, term, heartbeat, index),
+            Message::Transfer { term, to } => self.transferred(from, term, to),
             Message::Refuse { term } => self.refused(term),
         }
     }
@@ -248,7 +262,7 @@
     /// Sends a message; one to this machine itself is taken in at once.
     pub(super) fn send(&mut self, to: Ipv4Addr, message: Message) {
         if to == self.me.ip {
-            self.take_in(self.me, message);
+            self.handle(self.me, message);
         } else {
             self.actions.push(Action::Send(to, message));
         }
@@ -339,7 +353,7 @@
     }
 
     /// The leader lives, and tells how far the chain is chosen.
-    fn lead(&mut self, from: VoterId, term: Term, index: LogIndex, heartbeat: u64) {
+    fn heartbeat(&mut self, from: VoterId, term: Term, index: LogIndex, heartbeat: u64) {
         if term < self.promised && !is_chosen(Mutant::PromiseBroken) {
             return self.send(from.ip, Message::Refuse { term: self.promised });
         }
@@ -382,17 +396,13 @@
     }
 
     fn moved(&mut self, entry: Entry) {
-        let size = |entry: &Entry| match entry {
-            Entry::Replace { body, .. } | Entry::Change { body, .. } => body.len(),
-            _ => 64,
-        };
         Arc::make_mut(&mut self.state).apply(&entry);
         let chosen = Chosen { index: self.state.index, entry };
-        self.kept_bytes += size(&chosen.entry);
+        self.kept_bytes += chosen.entry.size();
         self.kept.push_back(chosen.clone());
         while self.kept.len() > KEPT || self.kept_bytes > KEPT_BYTES {
             let Some(oldest) = self.kept.pop_front() else { break };
-            self.kept_bytes -= size(&oldest.entry);
+            self.kept_bytes -= oldest.entry.size();
         }
         self.actions.push(Action::Moved(Some(chosen)));
         if self.me.disk != 0 && self.state.index.is_multiple_of(SNAPSHOT) {
--- a/crates/config-store/src/store.rs
+++ b/crates/config-store/src/store.rs
@@ -2,13 +2,15 @@
 //! synced before [`Store::keep`] returns. One owner; the host gives it a thread, so that a disk that hangs holds up
 //! nobody else.
 
-use crate::consensus::{Chosen, Entry, LogIndex, Record, Recovered, State, Term};
+use crate::consensus::{Chosen, Entry, LogIndex, Record, Recovered, ShortDigestState, State, Term};
 use rusqlite::{params, Connection, OptionalExtension};
 use serde::{de::DeserializeOwned, Serialize};
 use std::path::{Path, PathBuf};
 
-/// The format of the file; another is refused.
-const FORMAT: u32 = 1;
+/// The format of the file. One of format 1 is converted when it is opened; any other is refused.
+const FORMAT: u32 = 2;
+/// The format in which orders were remembered by shorter digests.
+const SHORT_DIGESTS: u32 = 1;
 /// Most bytes of the file, and those of one of its pages.
 const MOST: u64 = 40 << 20;
 const PAGE: u64 = 4096;
@@ -36,6 +38,14 @@
         /// What was wrong.
         what: String,
     },
+    /// The folder itself can't be synced.
+    #[diagnostic(help("see to the disk, and to the rights on the folder"))]
+    Folder {
+        /// The folder.
+        folder: PathBuf,
+        /// What the system said.
+        error: std::io::Error,
+    },
     /// The disk refuses.
     #[diagnostic(help("make room, or see to the disk; what was not kept was not promised"))]
     Disk(rusqlite::Error),
@@ -48,6 +58,7 @@
                 write!(f, "{}: format {found}, this program writes {FORMAT}", file.display())
             }
             Fault::Spoilt { file, what } => write!(f, "{}: {what}", file.display()),
+            Fault::Folder { folder, error } => write!(f, "{}: {error}", folder.display()),
             Fault::Disk(error) => write!(f, "the store's disk: {error}"),
         }
     }
@@ -102,6 +113,7 @@
         let mut store = Store { file, connection, disk: new_disk, torn: false };
         match store.meta::<u32>("format")? {
             Some(FORMAT) => {}
+            Some(SHORT_DIGESTS) => store.convert_short_digests()?,
             Some(found) => return Err(Fault::Format { file: store.file, found }),
             None => {
                 let transaction = store.connection.transaction()?;
@@ -110,11 +122,27 @@
                 transaction.commit()?;
             }
         }
+        sync_folder(folder)?;
         store.disk = store.meta("disk")?.ok_or_else(|| store.spoilt("it has no number".to_owned()))?;
         let recovered = store.recover()?;
         Ok((store, recovered))
     }
 
+    /// Orders of a file of format 1 can't be told from others any more: they are noted as forgotten, so that one that is
+    /// sent again gets no clear answer rather than a wrong one.
+    fn convert_short_digests(&mut self) -> Result<(), Fault> {
+        let bytes: Option<Vec<u8>> =
+            self.connection.query_row("SELECT value FROM state", [], |row| row.get(0)).optional()?;
+        let old = bytes.map(|bytes| self.decode::<ShortDigestState>(&bytes)).transpose()?;
+        let transaction = self.connection.transaction()?;
+        if let Some(old) = old {
+            put_state(&transaction, &old.into())?;
+        }
+        put_meta(&transaction, "format", &FORMAT)?;
+        transaction.commit()?;
+        Ok(())
+    }
+
     /// The number that this disk was given.
     pub fn disk(&self) -> u64 {
         self.disk
@@ -184,7 +212,7 @@
             }
             Record::Whole(Recovered { promised, state, open }) => {
                 put_meta(&transaction, "promised", promised)?;
-                transaction.execute("INSERT OR REPLACE INTO state VALUES (1, ?1)", params![encode(state)])?;
+                put_state(&transaction, state)?;
                 transaction.execute("DELETE FROM log", [])?;
                 if let Some((term, entry)) = open {
                     put_entry(&transaction, (state.index + 1, entry), *term, false)?;
@@ -219,6 +247,18 @@
     bytes
 }
 
+/// Syncs the folder's own entries. Guards against a loss of power that takes a file whose content was synced.
+fn sync_folder(folder: &Path) -> Result<(), Fault> {
+    std::fs::File::open(folder)
+        .and_then(|folder| folder.sync_all())
+        .map_err(|error| Fault::Folder { folder: folder.to_owned(), error })
+}
+
+fn put_state(at: &Connection, state: &State) -> Result<(), Fault> {
+    at.execute("INSERT OR REPLACE INTO state VALUES (1, ?1)", params![encode(state)])?;
+    Ok(())
+}
+
 fn put_meta(at: &Connection, key: &str, value: &impl Serialize) -> Result<(), Fault> {
     at.execute("INSERT OR REPLACE INTO meta VALUES (?1, ?2)", params![key, encode(value)])?;
     Ok(())
--- a/crates/config-store/tests/common/mod.rs
+++ b/crates/config-store/tests/common/mod.rs
@@ -51,7 +51,7 @@
 }
 
 struct Asked {
-    digest: u64,
+    digest: OrderDigest,
     version: u32,
     built_on: u32,
 }
@@ -70,7 +70,7 @@
     asked: BTreeMap<u64, Asked>,
     next_ask: u64,
     last_version: u32,
-    taken: Vec<(u64, u32)>,
+    taken: Vec<(OrderDigest, u32)>,
     /// What operators called, by number: when, and what they were answered so far.
     history: BTreeMap<u64, Operation>,
     pub acknowledged: usize,
@@ -208,7 +208,7 @@
                 }
                 let now = self.now;
                 if let Some(replica) = &mut self.machines[one].replica {
-                    let actions = replica.hear(now, from, message);
+                    let actions = replica.receive(now, from, message);
                     self.carry_out(one, actions);
                 }
             }
@@ -320,12 +320,12 @@
             return;
         };
         let Some(source) = &self.machines[from].replica else { return };
-        let (entries, state) = (source.since(index), State::clone(source.state()));
+        let (entries, state) = (source.entries_after(index), State::clone(source.state()));
         let now = self.now;
         let Some(replica) = &mut self.machines[one].replica else { return };
         let actions = match entries {
             Some(entries) => replica.learn(now, entries),
-            None => replica.adopt(now, state),
+            None => replica.install_snapshot(now, state),
         };
         self.carry_out(one, actions);
     }
@@ -478,7 +478,7 @@
             }
         };
         let body = body(version);
-        let digest = digest(true, built_on, &body);
+        let digest = OrderDigest::of(true, built_on, &body);
         self.asked.insert(number, Asked { digest, version, built_on });
         self.begin_call(number, versions::Asked::Write { version, built_on });
         if let Some(replica) = &mut self.machines[one].replica {
@@ -638,8 +638,8 @@
     }
     let term = term.expect("the first in the order stands");
     let promise = Message::Promise { term, index: 1, open: None };
-    let mut actions = replica.hear(301, id(1), promise.clone());
-    actions.extend(replica.hear(302, id(2), promise));
+    let mut actions = replica.receive(301, id(1), promise.clone());
+    actions.extend(replica.receive(302, id(2), promise));
     let early = replica.leads();
     let write = actions.iter().find_map(|action| match action {
         Action::Write(number, Record::Promised(_)) => Some(*number),
@@ -655,7 +655,7 @@
     });
     let heartbeat = heartbeat.expect("it asks the others");
     let unsure = answers(&asked);
-    let sure = answers(&replica.hear(305, id(1), Message::Follow { term, index: 1, heartbeat }));
+    let sure = answers(&replica.receive(305, id(1), Message::Follow { term, index: 1, heartbeat }));
     [early, held, unsure, sure]
 }
 
@@ -676,10 +676,10 @@
                 Action::Answer(number @ 3..=4, outcome) => answers[number as usize - 3] = Some(outcome),
                 // The one that was let in accepts what it is asked to.
                 Action::Send(to, Message::Accept { term, index, .. }) if to == ip(3) => {
-                    more.extend(replica.hear(now, id(3), Message::Accepted { term, index }));
+                    more.extend(replica.receive(now, id(3), Message::Accepted { term, index }));
                 }
                 Action::Send(to, Message::Lead { term, index, heartbeat }) if to == ip(3) => {
-                    more.extend(replica.hear(now, id(3), Message::Follow { term, index, heartbeat }));
+                    more.extend(replica.receive(now, id(3), Message::Follow { term, index, heartbeat }));
                 }
                 _ => {}
             }
--- a/crates/config-store/tests/common/voters.rs
+++ b/crates/config-store/tests/common/voters.rs
@@ -88,10 +88,10 @@
     chosen: BTreeMap<LogIndex, Entry>,
     words: u8,
     /// Digests of what was asked, by number; of reads the newest version acknowledged when they began.
-    asked: BTreeMap<u64, u64>,
+    asked: BTreeMap<u64, OrderDigest>,
     reads: BTreeMap<u64, u32>,
-    acknowledged: BTreeMap<u64, u32>,
-    refused: BTreeSet<u64>,
+    acknowledged: BTreeMap<OrderDigest, u32>,
+    refused: BTreeSet<OrderDigest>,
     left: Left,
     /// Holders, by term and the life of whoever holds.
     leaders: BTreeSet<Term>,
@@ -279,9 +279,9 @@
     }
 
     /// Digests of all words that are chosen.
-    fn taken(&self) -> impl Iterator<Item = u64> + '_ {
+    fn taken(&self) -> impl Iterator<Item = OrderDigest> + '_ {
         self.chosen.values().filter_map(|entry| match entry {
-            Entry::Replace { built_on, body } => Some(digest(true, *built_on, body)),
+            Entry::Replace { built_on, body } => Some(OrderDigest::of(true, *built_on, body)),
             _ => None,
         })
     }
@@ -469,7 +469,7 @@
                 let (number, built_on) =
                     (u64::from(site.words), site.machines[one].replica.state().version());
                 let body = body(u32::from(site.words));
-                site.asked.insert(number, digest(true, built_on, &body));
+                site.asked.insert(number, OrderDigest::of(true, built_on, &body));
                 let now = site.now(one);
                 let command = Command::Put { is_whole: true, built_on, body };
                 let actions = site.machines[one].replica.ask(now, number, command);
@@ -516,17 +516,17 @@
     fn arrive(&mut self, (to, from, packet): Post) {
         let now = self.now(to);
         let actions = match packet {
-            Packet::Said(message) => self.machines[to].replica.hear(now, from, message),
+            Packet::Said(message) => self.machines[to].replica.receive(now, from, message),
             Packet::Fetch => {
                 // The answer is taken in at once: what it says is chosen, whenever it comes.
                 let (asker, source) = (number(from.ip), self.machines[to].replica.state().clone());
                 let index = self.machines[asker].replica.state().index;
-                let entries = self.machines[to].replica.since(index);
+                let entries = self.machines[to].replica.entries_after(index);
                 let now = self.now(asker);
                 let replica = &mut self.machines[asker].replica;
                 let actions = match entries {
                     Some(entries) => replica.learn(now, entries),
-                    None => replica.adopt(now, State::clone(&source)),
+                    None => replica.install_snapshot(now, State::clone(&source)),
                 };
                 return self.carry_out(asker, actions);
             }
--- a/crates/config-store/tests/mutants.rs
+++ b/crates/config-store/tests/mutants.rs
@@ -1,6 +1,8 @@
 //! The campaign can fail: each deliberate fault is found within some seeds.
 #![cfg(feature = "mutants")]
 
+#[path = "common/alone.rs"]
+mod alone;
 mod common;
 #[path = "common/voters.rs"]
 mod voters;
@@ -25,6 +27,9 @@
                 let [early, _, unsure, _] = one_voter_step_by_step();
                 return (early || unsure).then(|| (0, format!("step by step: {mutant:?}")));
             }
+            Mutant::ForgottenRefused => {
+                return alone::orders_of_long_ago_refused().map(|broken| (0, broken));
+            }
             // Seeds that met it among 25,000.
             Mutant::VotersUnchecked => {
                 return [5_143, 5_473, 5_670, 16_326].into_iter().find_map(|seed| {
@@ -66,7 +71,10 @@
         Mutant::DiskIgnored => Some(ModelSizes { wipes: 1, ..held }),
         Mutant::JudgesUnsure => Some(ModelSizes { reads: 2, ..held }),
         // Found step by step, and by seeds: 200,000 walks did not meet their moment.
-        Mutant::OwnPromiseUnsynced | Mutant::TornIgnored | Mutant::VotersUnchecked => None,
+        Mutant::OwnPromiseUnsynced
+        | Mutant::TornIgnored
+        | Mutant::VotersUnchecked
+        | Mutant::ForgottenRefused => None,
     };
     let found_by = |mutant, sizes| {
         let found = walk(sizes, Some(mutant), 100_000);
--- a/crates/config-store/tests/store.rs
+++ b/crates/config-store/tests/store.rs
@@ -158,3 +158,44 @@
     drop(store);
     assert_eq!(open(&folder.0).1.open, Some(((2, 1), word(5, 0))));
 }
+
+/// A file of the format before: its state is read, and orders that it remembers under short digests count as forgotten.
+#[test]
+fn a_store_of_the_format_before_is_converted() {
+    let folder = Folder::new("converted");
+    let (mut store, _) = open(&folder.0);
+    store.keep(&whole()).expect("it is kept");
+    store.keep(&accepted(1, 2, word(5, 0))).expect("it is kept");
+    store.keep(&accepted(1, 3, word(9, 5))).expect("it is kept");
+    let found = store.recover().expect("it can be read");
+    drop(store);
+    make_format_1(&folder.0, &found.state);
+    let (store, converted) = open(&folder.0);
+    let state = converted.state;
+    assert_eq!((state.version(), state.index, &state.voters), (5, 2, &voters()));
+    assert_eq!((state.forgotten, state.taken.len()), (5, 0));
+    assert_eq!(store.disk(), 77, "it is the same disk");
+    drop(store);
+    assert_eq!(open(&folder.0).1.state, state, "and it is converted once");
+}
+
+/// Writes a state as format 1 had it, with nothing behind it.
+fn make_format_1(folder: &Path, state: &State) {
+    use ciborium::Value;
+    let mut bytes = Vec::new();
+    ciborium::into_writer(state, &mut bytes).expect("a state can be written");
+    let mut fields: Vec<(Value, Value)> = match ciborium::from_reader(&bytes[..]) {
+        Ok(Value::Map(fields)) => fields,
+        other => panic!("a state is a map: {other:?}"),
+    };
+    fields.retain(|(key, _)| key.as_text() != Some("forgotten") && key.as_text() != Some("taken"));
+    let taken = state.taken.keys().map(|version| (Value::from(*version), Value::from(u64::MAX)));
+    fields.push((Value::from("taken"), Value::Map(taken.collect())));
+    let (mut old, mut format) = (Vec::new(), Vec::new());
+    ciborium::into_writer(&Value::Map(fields), &mut old).expect("it can be written");
+    ciborium::into_writer(&1_u32, &mut format).expect("it can be written");
+    let file = rusqlite::Connection::open(folder.join(FILE)).expect("the file opens");
+    file.execute("INSERT OR REPLACE INTO state VALUES (1, ?1)", [old]).expect("it is kept");
+    file.execute("DELETE FROM log", []).expect("it is kept");
+    file.execute("UPDATE meta SET value = ?1 WHERE key = 'format'", [format]).expect("it is kept");
+}
--- a/crates/signalbox/src/control.rs
+++ b/crates/signalbox/src/control.rs
@@ -338,7 +338,7 @@
                 self.hailed_by(card, (index, digest), holder, cards, back);
             }
             Telegram::Chain(disk, message) => {
-                let done = self.replica.hear(self.now, consensus::VoterId { ip: from, disk }, message);
+                let done = self.replica.receive(self.now, consensus::VoterId { ip: from, disk }, message);
                 self.carry_out(done);
             }
             Telegram::Fetch(index) => self.tell_news(from, index),
@@ -347,7 +347,7 @@
                 self.carry_out(done);
             }
             Telegram::Whole(state) => {
-                let done = self.replica.adopt(self.now, Arc::unwrap_or_clone(state));
+                let done = self.replica.install_snapshot(self.now, Arc::unwrap_or_clone(state));
                 self.carry_out(done);
             }
             Telegram::Ranges(theirs) => {
@@ -384,7 +384,7 @@
             Telegram::Taken(number) => self.taken(number, from),
             Telegram::Begin(slots) => {
                 if self.start.first_start && self.start.card.disk != 0 {
-                    let done = self.replica.found(self.now, slots);
+                    let done = self.replica.bootstrap(self.now, slots);
                     self.carry_out(done);
                 }
             }
--- a/crates/signalbox/src/keeper.rs
+++ b/crates/signalbox/src/keeper.rs
@@ -33,7 +33,7 @@
         let slots = self.views.len() as u32 + 1;
         match self.begun {
             Some(ip) if ip == self.start.card.ip => {
-                let done = self.replica.found(self.now, slots);
+                let done = self.replica.bootstrap(self.now, slots);
                 self.carry_out(done);
             }
             Some(ip) => self.send(ip, Telegram::Begin(slots)),
--- a/crates/signalbox/src/news.rs
+++ b/crates/signalbox/src/news.rs
@@ -30,7 +30,7 @@
         if index >= state.index {
             return;
         }
-        let telegram = match self.replica.since(index) {
+        let telegram = match self.replica.entries_after(index) {
             Some(entries) => Telegram::News(entries),
             None => Telegram::Whole(state),
         };
--- a/crates/signalbox/tests/world/callers.rs
+++ b/crates/signalbox/tests/world/callers.rs
@@ -3,7 +3,7 @@
 
 use super::script::{Ask, Flaw, Millis};
 use super::{machine, Step, World, BEAT, CALLER};
-use config_store::consensus::digest;
+use config_store::consensus::OrderDigest;
 use serde_json::{json, Value};
 use signalbox::call::{Call, Reply};
 use std::collections::BTreeMap;
@@ -22,8 +22,8 @@
 }
 
 impl Put {
-    pub fn digest(&self) -> u64 {
-        digest(self.is_whole, self.built_on, &self.body)
+    pub fn digest(&self) -> OrderDigest {
+        OrderDigest::of(self.is_whole, self.built_on, &self.body)
     }
 }
 
--- a/crates/signalbox/tests/world/judge.rs
+++ b/crates/signalbox/tests/world/judge.rs
@@ -5,7 +5,7 @@
 //! machine of the core that reaches more than half of it), and that of the core for `inTouchS` = 3 s.
 
 use super::script::Millis;
-use config_store::consensus::{Chosen, Entry, LogIndex, State};
+use config_store::consensus::{Chosen, Entry, LogIndex, OrderDigest, State};
 use signalbox::backends::{Backend, Stage};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -32,9 +32,9 @@
     entries: BTreeMap<LogIndex, Entry>,
     core_trouble: Millis,
     /// Acknowledged: version, digest, the version below, when.
-    pub acknowledged: Vec<(u32, u64, u32, Millis)>,
-    refused: BTreeMap<u64, String>,
-    in_force: BTreeSet<u64>,
+    pub acknowledged: Vec<(u32, OrderDigest, u32, Millis)>,
+    refused: BTreeMap<OrderDigest, String>,
+    in_force: BTreeSet<OrderDigest>,
     ends: Vec<(String, Millis)>,
     /// When each machine first went by a version, or one above it.
     goes_by: BTreeMap<(usize, u32), Millis>,
@@ -160,7 +160,12 @@
         self.seen[one].backends.remove(id);
     }
 
-    pub fn acknowledge(&mut self, name: &str, (version, digest, built_on): (u32, u64, u32), now: Millis) {
+    pub fn acknowledge(
+        &mut self,
+        name: &str,
+        (version, digest, built_on): (u32, OrderDigest, u32),
+        now: Millis,
+    ) {
         let other = self.acknowledged.iter().find(|(_, other, on, _)| *on == built_on && *other != digest);
         if let Some((other, ..)) = other {
             let told =
@@ -173,7 +178,7 @@
         self.acknowledged.push((version, digest, built_on, now));
     }
 
-    pub fn refuse(&mut self, name: &str, digest: u64, now: Millis) {
+    pub fn refuse(&mut self, name: &str, digest: OrderDigest, now: Millis) {
         if self.in_force.contains(&digest) {
             self.breaks(now, format!("{name} is refused and was in force"));
         }
