Split the control plane's owner by concern, with the field's names

Change: gossip.rs, backend_calls.rs, operator.rs, lending.rs, membership.rs, log_updates.rs beside the owner; messages are Gossip, Consensus, Entries, Confirmed, Bootstrap (their bytes stay). No other change of behaviour.

--- a/crates/junction/src/run.rs
+++ b/crates/junction/src/run.rs
@@ -87,7 +87,7 @@
                         let _ = to.send(reply);
                     }
                 }
-                Action::Word(state) => {
+                Action::Configuration(state) => {
                     self.platform.set_ordinal(self.ordinal());
                     self.platform.word(&state);
                 }
--- a/crates/junction/src/status.rs
+++ b/crates/junction/src/status.rs
@@ -26,14 +26,14 @@
 pub fn told(address: &str, text: &str) -> String {
     let Ok(told) = serde_json::from_str::<Value>(text) else { return format!("{address}: {text}") };
     let word = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
-    let holder = match &told["holder"] {
-        Value::Null => "nobody holds the duty".to_owned(),
-        holder => format!("{} holds the duty under term {}", word(&holder["ip"]), holder["term"]),
+    let leader = match &told["leader"] {
+        Value::Null => "nobody leads".to_owned(),
+        leader => format!("{} leads under term {}", word(&leader["ip"]), leader["term"]),
     };
     let voters: Vec<String> =
         told["voters"].as_array().into_iter().flatten().map(|voter| word(&voter["ip"])).collect();
     let mut lines = format!(
-        "{address}: zone {}, version {} at index {}; {holder}; voters {}; backends {} ready, {} silent, {} emptying",
+        "{address}: zone {}, version {} at index {}; {leader}; voters {}; backends {} ready, {} silent, {} emptying",
         word(&told["zone"]),
         word(&told["version"]),
         told["index"],
@@ -45,7 +45,7 @@
     for door in told["doors"].as_array().into_iter().flatten() {
         if door["behind"].as_u64().is_some_and(|behind| behind > 0) {
             lines.push_str(&format!(
-                "\n  {} is {} places behind, heard {} ms ago",
+                "\n  {} is {} indexes behind, heard {} ms ago",
                 word(&door["ip"]),
                 door["behind"],
                 door["heardMsAgo"]
--- a/crates/signalbox/src/backends.rs
+++ b/crates/signalbox/src/backends.rs
@@ -127,7 +127,7 @@
     }
 
     /// Takes in a record; `own`: it came from the backend itself.
-    pub fn receive(&mut self, now: Millis, backend: Backend, own: bool) -> News {
+    pub fn hear(&mut self, now: Millis, backend: Backend, own: bool) -> News {
         let news = self.take_in(now, backend, own);
         if news == News::Changed {
             self.changed = Some(now);
--- /dev/null
+++ b/crates/signalbox/src/gossip.rs
@@ -0,0 +1,131 @@
+//! Gossip: exchanges between machines that keep the partial views fresh, tell how far each knows the log, who leads, and
+//! whether the tables of backends differ.
+
+use crate::control::Control;
+use crate::telegram::{LeaderTold, Telegram};
+use crate::Millis;
+use config_store::consensus::Term;
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use telegraph::views::{Aged, Card};
+
+/// Between two gossip exchanges, and between two while nobody is known yet.
+pub(crate) const GOSSIP: Millis = 400;
+pub(crate) const FIRST_GOSSIP: Millis = 60;
+/// Between two repairs of the table; while it changes all the time, at the latest.
+const REPAIR: Millis = 300;
+const REPAIR_LATEST: Millis = 900;
+/// A machine that said something so lately is not cut off from here.
+pub(crate) const SPEAKS: Millis = 1_200;
+/// So many turns have two for all doors, near or not.
+const FAR_TURN: usize = 6;
+/// Between two looks for what is missing at one machine.
+const FETCH: Millis = 120;
+
+impl Control {
+    /// Hails one of the core, one of those known, and, while few are known, the seeds.
+    pub(crate) fn gossip_next(&mut self) {
+        self.turn += 1;
+        let me = self.start.card.ip;
+        let core: Vec<Ipv4Addr> = self.core().into_iter().filter(|ip| *ip != me).collect();
+        let zone = self.start.card.zone.clone();
+        // One that has said nothing for long may be cut off: then those farther away are asked.
+        let (heard, now) = (&self.heard, self.now);
+        let speaks = |ip: &Ipv4Addr| heard.get(ip).is_some_and(|at| now < at + SPEAKS);
+        let is_near =
+            |ip: &Ipv4Addr| speaks(ip) && self.views.card(*ip).is_some_and(|card| card.zone == zone);
+        let near: Vec<Ipv4Addr> = core.iter().copied().filter(is_near).collect();
+        let mut to: BTreeSet<Ipv4Addr> = BTreeSet::new();
+        // Mostly near: bytes between zones cost. All of the core and all doors have their turn.
+        let far = self.turn % FAR_TURN < 2;
+        let is_cut_off = !core.iter().any(speaks);
+        if self.turn.is_multiple_of(2) && !core.is_empty() {
+            let of = if near.is_empty() || far { &core } else { &near };
+            to.insert(of[(self.turn / 2) % of.len()]);
+        } else if far {
+            to.extend(self.views.draw(1, |_| true));
+        } else {
+            let drawn = self.views.draw(1, |card| card.zone == zone && speaks(&card.ip));
+            to.extend(if drawn.is_empty() { self.views.draw(1, |_| true) } else { drawn });
+        }
+        // Who hears none of the core follows through others that it hears, wherever they are.
+        if is_cut_off {
+            let drawn = self.views.draw(1, |card| speaks(&card.ip));
+            to.extend(if drawn.is_empty() {
+                self.views.draw(1, |card| !core.contains(&card.ip))
+            } else {
+                drawn
+            });
+        }
+        // Guards against a part of the doors that knows only itself.
+        if self.views.len() < 2 || self.turn.is_multiple_of(16) {
+            to.extend(self.start.seeds.iter().copied().filter(|ip| *ip != me));
+        }
+        to.into_iter().for_each(|ip| self.gossip_to(ip, true));
+    }
+
+    pub(crate) fn gossip_to(&mut self, to: Ipv4Addr, back: bool) {
+        let told = |(term, ip): (Term, Ipv4Addr)| -> LeaderTold {
+            let at = self.told.filter(|(_, at_ip, _)| *at_ip == ip).map_or(self.now, |(_, _, at)| at);
+            let heard = if self.replica.leader(self.now).is_some() { self.now } else { at };
+            (term, ip, u32::try_from(self.now - heard).unwrap_or(u32::MAX))
+        };
+        let leader = self.leader().map(told);
+        let (index, digest) = (self.replica.state().index, self.table.digest());
+        let cards = self.views.swap(self.now, to);
+        let card = self.start.card.clone();
+        self.send(to, Telegram::Gossip(card, index, digest, leader, cards, back));
+    }
+
+    pub(crate) fn receive_gossip(
+        &mut self,
+        card: Card,
+        (index, digest): (u64, u64),
+        leader: Option<LeaderTold>,
+        cards: Vec<Aged>,
+        back: bool,
+    ) {
+        let from = card.ip;
+        self.indexes.insert(from, index);
+        self.views.hear(self.now, (card, 0));
+        for aged in cards {
+            self.views.hear(self.now, aged);
+        }
+        if let Some((term, ip, age)) = leader {
+            let at = self.now.saturating_sub(Millis::from(age));
+            let newer =
+                self.told.is_none_or(|(known, _, heard)| term > known || (term == known && at > heard));
+            if newer {
+                self.told = Some((term, ip, at));
+            }
+        }
+        if index > self.replica.state().index {
+            self.fetch(from);
+        }
+        if back {
+            self.gossip_to(from, false);
+        }
+        if digest != self.table.digest() && self.may_repair() {
+            self.repaired = Some(self.now);
+            let own = self.table.digests();
+            self.send(from, Telegram::Ranges(own));
+        }
+    }
+
+    /// Whether tables that differ are to be mended now. Guards the links while many backends come at once: what differs is
+    /// on its way then, and a part of the table for each hail would weigh more than all of it.
+    pub(crate) fn may_repair(&self) -> bool {
+        let since = |at: Option<Millis>| at.map_or(Millis::MAX, |at| self.now.saturating_sub(at));
+        let (repaired, changed) = (since(self.repaired), since(self.table.changed()));
+        repaired >= REPAIR_LATEST || (repaired >= REPAIR && changed >= REPAIR)
+    }
+
+    pub(crate) fn fetch(&mut self, from: Ipv4Addr) {
+        let last = self.fetched.get(&from).copied();
+        if last.is_none_or(|at| self.now >= at + FETCH) {
+            self.fetched.insert(from, self.now);
+            let index = self.replica.state().index;
+            self.send(from, Telegram::Fetch(index));
+        }
+    }
+}
--- /dev/null
+++ b/crates/signalbox/src/lending.rs
@@ -0,0 +1,31 @@
+//! The leader lends shares of limits; nobody else does.
+
+use crate::control::{Control, ALL};
+use shunting::{Loan, Use};
+use std::net::Ipv4Addr;
+
+impl Control {
+    /// Begins to lend when it leads, and ends with it.
+    pub(crate) fn watch_leadership(&mut self) {
+        let holds = self.replica.leads();
+        if holds && !self.lends {
+            self.lender.begin(self.now);
+            // All whom it knows hear at once where to turn.
+            for ip in self.views.draw(ALL, |_| true) {
+                self.gossip_to(ip, false);
+            }
+        } else if !holds && self.lends {
+            self.lender.end();
+        }
+        self.lends = holds;
+    }
+
+    pub(crate) fn lend(&mut self, ip: Ipv4Addr, life: u64, used: &[Use]) -> Vec<Loan> {
+        // Guards against one that stood still and leads no more: it lends only while a majority answers.
+        if !self.replica.has_quorum(self.now) {
+            return Vec::new();
+        }
+        let limits = &self.limits;
+        self.lender.lend(self.now, (ip, life), used, |tenant| limits.get(&tenant).copied())
+    }
+}
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -7,11 +7,15 @@
 //! request; the data plane reads copies.
 #![forbid(unsafe_code)]
 
+mod backend_calls;
 pub mod backends;
 pub mod call;
 mod control;
-mod keeper;
-mod news;
+mod gossip;
+mod lending;
+mod log_updates;
+mod membership;
+mod operator;
 mod status;
 pub mod telegram;
 
--- a/crates/signalbox/src/news.rs
+++ b/crates/signalbox/src/log_updates.rs
@@ -8,7 +8,7 @@
 
 /// Entries up to so many bytes are told at once; of longer ones it is told that they are there.
 const SHORT: usize = 8 * 1024;
-/// Doors that the holder tells where there are many, and that each other tells on. Of long entries the holder too tells
+/// Doors that the leader tells where there are many, and that each other tells on. Of long entries the leader too tells
 /// few: one behind the other they would fill its link while those who have them are idle.
 const SOME: usize = 8;
 const ON: usize = 3;
@@ -25,20 +25,20 @@
 
 impl Control {
     /// Tells a machine what it lacks behind a index.
-    pub(crate) fn tell_news(&mut self, to: Ipv4Addr, index: LogIndex) {
+    pub(crate) fn send_entries(&mut self, to: Ipv4Addr, index: LogIndex) {
         let state = self.replica.state().clone();
         if index >= state.index {
             return;
         }
         let telegram = match self.replica.entries_after(index) {
-            Some(entries) => Telegram::News(entries),
+            Some(entries) => Telegram::Entries(entries),
             None => Telegram::Whole(state),
         };
         self.send(to, telegram);
     }
 
-    /// Entries were chosen: the holder tells those who have no vote, and who hears of them tells on.
-    pub(crate) fn spread_news(&mut self, entries: Vec<Chosen>) {
+    /// Entries were chosen: the leader tells those who have no vote, and who hears of them tells on.
+    pub(crate) fn spread_entries(&mut self, entries: Vec<Chosen>) {
         let few = self.views.len() <= ALL;
         let is_short = !entries.is_empty() && size(&entries) <= SHORT;
         let most = match (self.replica.leads(), few) {
@@ -63,9 +63,9 @@
     fn tell_entries(&mut self, to: &[Ipv4Addr], entries: &[Chosen]) {
         for ip in to {
             if entries.is_empty() {
-                self.hail(*ip, false);
+                self.gossip_to(*ip, false);
             } else {
-                self.send(*ip, Telegram::News(entries.to_vec()));
+                self.send(*ip, Telegram::Entries(entries.to_vec()));
             }
         }
     }
--- a/crates/signalbox/src/keeper.rs
+++ b/crates/signalbox/src/membership.rs
@@ -1,4 +1,4 @@
-//! What the holder of the duty keeps in order: who votes, and into how many parts limits are cut.
+//! What the leader of leadership keeps in order: who votes, and into how many parts limits are cut.
 
 use crate::control::{Control, ALL};
 use crate::telegram::Telegram;
@@ -16,7 +16,7 @@
 impl Control {
     /// The first seed of the very first start says who begins the chain: itself, or the first of the core that it meets.
     /// Nobody else ever does, so there is one beginning.
-    pub(crate) fn begin_chain(&mut self) {
+    pub(crate) fn bootstrap_log(&mut self) {
         let card = &self.start.card;
         let is_first = self.start.first_start && self.start.seeds.first() == Some(&card.ip);
         if !is_first || self.replica.state().index > 0 || self.now < MEET {
@@ -36,13 +36,13 @@
                 let done = self.replica.bootstrap(self.now, slots);
                 self.carry_out(done);
             }
-            Some(ip) => self.send(ip, Telegram::Begin(slots)),
+            Some(ip) => self.send(ip, Telegram::Bootstrap(slots)),
             None => {}
         }
     }
 
     /// Changes the set of voters by one, if it is not as it ought to be.
-    pub(crate) fn keep_voters(&mut self) {
+    pub(crate) fn reconcile_voters(&mut self) {
         if !self.replica.leads() || !self.own.is_empty() {
             return;
         }
--- a/crates/signalbox/src/status.rs
+++ b/crates/signalbox/src/status.rs
@@ -1,4 +1,4 @@
-//! What a machine knows of the system, for the people who run it: who votes, who holds the duty, which version is in force
+//! What a machine knows of the system, for the people who run it: who votes, who leads, which version is in force
 //! at which door, who lags. Nothing here names a key.
 
 use crate::backends::Stage;
@@ -15,7 +15,7 @@
             .heard
             .iter()
             .map(|(ip, at)| {
-                let index = self.places.get(ip);
+                let index = self.indexes.get(ip);
                 json!({
                     "ip": ip,
                     "zone": self.views.card(*ip).map(|card| card.zone.as_str()),
@@ -36,7 +36,7 @@
             "version": state.document.version().to_string(),
             "index": state.index,
             "votes": self.replica.votes(),
-            "holder": self.holder().map(|(term, ip)| json!({ "ip": ip, "term": term.0 })),
+            "leader": self.leader().map(|(term, ip)| json!({ "ip": ip, "term": term.0 })),
             "voters": voters,
             "parts": state.slots,
             "doors": doors,
--- a/crates/signalbox/src/telegram.rs
+++ b/crates/signalbox/src/telegram.rs
@@ -9,25 +9,25 @@
 use std::sync::Arc;
 use telegraph::views::{Aged, Card};
 
-/// Who holds the duty, under which term, and how many milliseconds ago it was heard.
-pub type HolderTold = (Term, Ipv4Addr, u32);
+/// Who leads, under which term, and how many milliseconds ago it was heard.
+pub type LeaderTold = (Term, Ipv4Addr, u32);
 
 /// One thing said.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Telegram {
-    /// A door tells of itself: its index in the chain, the digest of its table, who holds the duty, some cards, and
+    /// A door tells of itself: its index in the chain, the digest of its table, who leads, some cards, and
     /// whether it wants the same back.
     #[serde(rename = "h")]
-    Hail(Card, LogIndex, u64, Option<HolderTold>, Vec<Aged>, bool),
+    Gossip(Card, LogIndex, u64, Option<LeaderTold>, Vec<Aged>, bool),
     /// Between voters; the number of the sender's disk.
     #[serde(rename = "c")]
-    Chain(u64, Message),
+    Consensus(u64, Message),
     /// The entries behind this index, please.
     #[serde(rename = "f")]
     Fetch(LogIndex),
     /// Entries that are chosen, from a index on.
     #[serde(rename = "n")]
-    News(Vec<Chosen>),
+    Entries(Vec<Chosen>),
     /// The whole state, as the entries are no longer kept.
     #[serde(rename = "w")]
     Whole(Arc<State>),
@@ -39,11 +39,11 @@
     Backends(Vec<Backend>, Option<u64>),
     /// Records under this number were taken in.
     #[serde(rename = "a")]
-    Taken(u64),
+    Confirmed(u64),
     /// Begin the chain: only one machine is ever told.
     #[serde(rename = "g")]
-    Begin(u32),
-    /// A door's counts, to the holder: number, counts.
+    Bootstrap(u32),
+    /// A door's counts, to the leader: number, counts.
     #[serde(rename = "u")]
     Used(u32, Vec<Use>),
     /// What is lent upon a report: term, number, loans.
--- a/crates/signalbox/tests/word_times.rs
+++ b/crates/signalbox/tests/word_times.rs
@@ -1,5 +1,5 @@
 //! The operators' other bounds on a word, each held with half to spare: `confirmS` (4 s) from sending to the
-//! acknowledgement, over the loss of the holder; `catchUpS` (4 s) until a machine that comes back goes by the newest word;
+//! acknowledgement, over the loss of the leader; `catchUpS` (4 s) until a machine that comes back goes by the newest word;
 //! `recoverS` (15 s) until a word is taken behind a restart of all.
 
 mod world;
@@ -40,10 +40,10 @@
     world.judge.acknowledged.get(nth).map_or(u64::MAX, |(.., at)| *at)
 }
 
-#[test_case("kill holder"; "the holder is killed")]
-#[test_case("freeze holder for 5s"; "the holder is frozen")]
-#[test_case("cut holder off"; "the holder is cut off")]
-fn a_word_is_confirmed_in_time_over_the_loss_of_the_holder(loss: &str) {
+#[test_case("kill leader"; "the leader is killed")]
+#[test_case("freeze leader for 5s"; "the leader is frozen")]
+#[test_case("cut leader off"; "the leader is cut off")]
+fn a_word_is_confirmed_in_time_over_the_loss_of_the_leader(loss: &str) {
     let text = format!(
         "machines 4 disks, 7 plain, zones a b c\nsync 5ms\nat 4.0 operator next as first\nat MOMENT {loss}\n\
          at 9.0 operator next as second\nat 14 join\nlasts 22s\n"
--- a/crates/signalbox/tests/world/mod.rs
+++ b/crates/signalbox/tests/world/mod.rs
@@ -386,7 +386,7 @@
                         self.at(CALLER, Step::Answer(try_number, Some(reply)));
                     }
                 }
-                Action::Word(state) => self.judge.word(one, &state, self.now),
+                Action::Configuration(state) => self.judge.word(one, &state, self.now),
                 Action::Backend(backend) => self.judge.backend(one, backend),
                 Action::Dropped(id) => self.judge.dropped(one, &id),
                 Action::Lent(..) => {}
@@ -400,7 +400,7 @@
     }
 
     fn send(&mut self, from: usize, to: usize, telegram: Telegram) {
-        if let Telegram::News(entries) = &telegram {
+        if let Telegram::Entries(entries) = &telegram {
             self.judge.chosen(from, entries, self.now);
         }
         if to >= self.machines.len() || !self.hears(from, to) {
@@ -540,10 +540,10 @@
         _ => 64,
     };
     let bytes = match telegram {
-        Telegram::News(entries) => entries.iter().map(|chosen| of(&chosen.entry)).sum(),
+        Telegram::Entries(entries) => entries.iter().map(|chosen| of(&chosen.entry)).sum(),
         Telegram::Whole(state) => state.document.to_bytes().len(),
-        Telegram::Chain(_, Message::Accept { entry, .. }) => of(entry),
-        Telegram::Chain(_, Message::Promise { open: Some((_, entry)), .. }) => of(entry),
+        Telegram::Consensus(_, Message::Accept { entry, .. }) => of(entry),
+        Telegram::Consensus(_, Message::Promise { open: Some((_, entry)), .. }) => of(entry),
         Telegram::Backends(records, _) => 150 * records.len(),
         _ => 300,
     };
--- a/crates/signalbox/tests/world/play.rs
+++ b/crates/signalbox/tests/world/play.rs
@@ -71,27 +71,27 @@
         }
     }
 
-    /// The machine that holds the duty, under the highest term if several believe to.
-    fn holder(&self) -> Option<usize> {
+    /// The machine that leads, under the highest term if several believe to.
+    fn leader(&self) -> Option<usize> {
         let holds = |one: usize| {
             let control = self.machines[one].control.as_ref()?;
-            control.holder().filter(|(_, at)| self.runs(one) && *at == ip(one)).map(|(term, _)| (term, one))
+            control.leader().filter(|(_, at)| self.runs(one) && *at == ip(one)).map(|(term, _)| (term, one))
         };
         (0..self.machines.len()).filter_map(holds).max().map(|(_, one)| one)
     }
 
     fn all(&self, who: &str) -> Result<Vec<usize>, String> {
         let others = || {
-            let holder = self.holder()?;
-            Some((0..self.setup.disks).filter(|one| *one != holder && self.runs(*one)).collect::<Vec<_>>())
+            let leader = self.leader()?;
+            Some((0..self.setup.disks).filter(|one| *one != leader && self.runs(*one)).collect::<Vec<_>>())
         };
-        let no_holder = || "nobody holds the duty".to_owned();
+        let no_leader = || "nobody leads".to_owned();
         match who {
             "core" => Ok((0..self.setup.disks).collect()),
             "every" => Ok((0..self.machines.len()).collect()),
-            "holder" => Ok(vec![self.holder().ok_or_else(no_holder)?]),
-            "follower" => Ok(others().ok_or_else(no_holder)?.first().copied().into_iter().collect()),
-            "last" => Ok(others().ok_or_else(no_holder)?.last().copied().into_iter().collect()),
+            "leader" => Ok(vec![self.leader().ok_or_else(no_leader)?]),
+            "follower" => Ok(others().ok_or_else(no_leader)?.first().copied().into_iter().collect()),
+            "last" => Ok(others().ok_or_else(no_leader)?.last().copied().into_iter().collect()),
             _ => {
                 let number = self.names.get(who).copied().or_else(|| who.parse().ok());
                 let known = number.filter(|one| *one < self.machines.len());
@@ -260,12 +260,12 @@
                     return Err(format!("the voters are {found:?} and not {voters:?}"));
                 }
             }
-            Expect::Holder { who, is } => {
-                let holder = self.holder();
+            Expect::Leader { who, is } => {
+                let leader = self.leader();
                 let wanted = who.as_ref().map(|who| self.one(who)).transpose()?;
-                let holds = if wanted.is_some() { holder == wanted } else { holder.is_some() };
+                let holds = if wanted.is_some() { leader == wanted } else { leader.is_some() };
                 if holds != *is {
-                    return Err(format!("the holder is {holder:?}, expected {is}: {who:?}"));
+                    return Err(format!("the leader is {leader:?}, expected {is}: {who:?}"));
                 }
             }
             Expect::Read(version) => {
--- a/crates/signalbox/tests/world/script.rs
+++ b/crates/signalbox/tests/world/script.rs
@@ -12,7 +12,7 @@
 //! expect ...                                  without a time: at the end
 //! ```
 //!
-//! WHO is a number, `holder`, `follower` (the first other of the core that runs), `last` (the last of them), `core`,
+//! WHO is a number, `leader`, `follower` (the first other of the core that runs), `last` (the last of them), `core`,
 //! `every`, or a name given with `name WHO as NAME`.
 
 use std::fmt;
@@ -120,7 +120,7 @@
     Kept(String, usize),
     Knows(String, String, Vec<String>),
     Voters(Vec<usize>),
-    Holder {
+    Leader {
         who: Option<String>,
         is: bool,
     },
@@ -504,10 +504,10 @@
     Ok(match words.next("what is expected")? {
         "read" => Expect::Read(words.version()?),
         "voters" => Expect::Voters(words.machines()?),
-        "holder" => {
+        "leader" => {
             let is = !words.take("not");
             let who = words.next("a machine, or `any`")?;
-            Expect::Holder { who: (who != "any").then(|| who.to_owned()), is }
+            Expect::Leader { who: (who != "any").then(|| who.to_owned()), is }
         }
         "one" => {
             words.want("of")?;
