Let a silent voter go before its successor comes, and a planned one leave in order

Change: the leader reconciles the voters (membership.rs): silent for 1.2 s by its own heartbeats, a voter goes as soon as those who stay and those who wait bear the losses of survive (machines, zones, regions), and goes before the successor comes; a machine asks the leader for a vote every 150 ms and gets it once it has caught up; one that ends says so, hands leadership over, and ends when a majority of the others knows all that it knows; one that flaps is borne with for longer each time.

--- a/crates/config-store/src/consensus/campaign.rs
+++ b/crates/config-store/src/consensus/campaign.rs
@@ -108,6 +108,10 @@
     /// Leads, if a majority has promised by now: the state may have moved on meanwhile.
     pub(super) fn review_campaign(&mut self) {
         let Role::Candidate(candidate) = &self.role else { return };
+        if !self.votes() {
+            // What it learned meanwhile says that it has no vote any more.
+            return self.step_down();
+        }
         let promised: Vec<&Promised> =
             self.state.voters.iter().filter_map(|voter| candidate.promises.get(voter)).collect();
         // Guards against the same term being taken again after a crash: the own promise is on disk first.
--- a/crates/config-store/src/consensus/leader.rs
+++ b/crates/config-store/src/consensus/leader.rs
@@ -160,10 +160,14 @@
         Some(now.saturating_sub(at))
     }
 
-    /// Whether a majority of the voters has told this leader that it knows all up to this index to be chosen.
-    pub fn is_known_to_majority(&self, index: LogIndex) -> bool {
+    /// Whether a majority of these voters has told this leader that it knows all up to this index to be chosen.
+    pub fn is_known_to_majority_of(&self, voters: &BTreeSet<VoterId>, index: LogIndex) -> bool {
         let Role::Leader(leading) = &self.role else { return false };
-        leading.is_majority(&self.state, |answered| answered.index >= index)
+        let knows = |voter: &&VoterId| match **voter == self.me {
+            true => self.state.index >= index,
+            false => leading.answered.get(voter).is_some_and(|answered| answered.index >= index),
+        };
+        voters.iter().filter(knows).count() > voters.len() / 2
     }
 
     /// Hands leadership over to another voter, once what is proposed has its outcome. Nothing new is judged any more.
--- a/crates/junction/src/run.rs
+++ b/crates/junction/src/run.rs
@@ -170,7 +170,7 @@
             card,
             seeds: settings.seeds.clone(),
             first_start: settings.first_start,
-            survive: settings.survive,
+            survive: settings.survive.clone(),
             beat_ms: (settings.report_every_s * 1000.0) as u64,
             seed,
         },
@@ -223,6 +223,7 @@
                 ending = Some(Instant::now());
                 shutdown.advance(Phase::Leaving);
                 platform.leave();
+                owner.handle(Event::Leave);
             }
             _ = hangup.recv() => reread(&file, &mut current, &mut owner),
             Some(it) = told.recv() => owner.told(it),
@@ -244,7 +245,7 @@
                 shutdown.advance(Phase::Closing);
             }
             let over = serving.as_ref().is_none_or(tokio::task::JoinHandle::is_finished);
-            if over && shutdown.phase() == Phase::Closing {
+            if over && shutdown.phase() == Phase::Closing && owner.control.is_released() {
                 return Ok(());
             }
             if since.elapsed() >= grace.saturating_sub(LAST_WORDS) {
--- a/crates/junction/src/settings.rs
+++ b/crates/junction/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings file: what a process is told at its start. Fields that are not known are passed over.
 
 use schematic::{Config, ConfigLoader};
+use signalbox::Survive;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
@@ -64,8 +65,8 @@
     pub data_folder: Option<PathBuf>,
     /// Between two beats of a backend, in seconds.
     pub report_every_s: f64,
-    /// Machines of the core that may be lost at once.
-    pub survive: usize,
+    /// What may be lost at once.
+    pub survive: Survive,
     /// The rules' figures by name.
     pub bounds: BTreeMap<String, f64>,
     /// Other doors that are reached from here at another address than their own, as behind a translation of addresses.
@@ -178,6 +179,7 @@
             _ => problems.push(format!("reachedAt: {door:?}: {at:?} are not two IPv4 addresses")),
         }
     }
+    let survive = |name: &str| layout.survive.get(name).copied().unwrap_or_default();
     let figure = |name: &str, otherwise: f64| layout.limits.get(name).copied().flatten().unwrap_or(otherwise);
     if !problems.is_empty() {
         return Err(problems);
@@ -185,7 +187,13 @@
     Ok(Settings {
         node: layout.node,
         ip,
-        zones: layout.zones.keys().cloned().collect(),
+        survive: Survive {
+            machines: survive("machines"),
+            zones: survive("zones"),
+            regions: survive("regions"),
+            region_of: layout.zones.clone(),
+        },
+        zones: layout.zones.into_keys().collect(),
         zone: layout.zone,
         front,
         ready,
@@ -198,7 +206,6 @@
         memory_mb: figure("memoryMb", 256.0),
         data_folder: layout.data_folder.map(PathBuf::from),
         report_every_s: layout.report_every_s,
-        survive: layout.survive.get("machines").copied().unwrap_or_default(),
         bounds,
         reached_at,
     })
--- a/crates/signalbox/src/backend_calls.rs
+++ b/crates/signalbox/src/backend_calls.rs
@@ -1,9 +1,9 @@
 //! What backends call: heartbeats and ends. News of a backend spreads to all machines; that one leaves is acknowledged once
 //! a majority of the core knows.
 
-use crate::backends::{Backend, Stage};
+use crate::backends::{Backend, News, Stage};
 use crate::call::Reply;
-use crate::control::{Control, Unconfirmed, ALL};
+use crate::control::{Action, Control, Unconfirmed, ALL};
 use crate::telegram::Telegram;
 use crate::Millis;
 use std::collections::BTreeSet;
@@ -16,7 +16,41 @@
 const URGENT: Millis = 900;
 const AGAIN: Millis = 120;
 
+/// News of a backend bring the next gossip exchange forward by so much.
+const SOONER: Millis = 250;
+
 impl Control {
+    /// Takes in records that another machine tells.
+    pub(crate) fn receive_backends(&mut self, from: Ipv4Addr, records: Vec<Backend>, number: Option<u64>) {
+        let (mut news, mut outdated) = (Vec::new(), Vec::new());
+        for record in records {
+            let id = record.id.clone();
+            match self.table.hear(self.now, record, false) {
+                News::Changed => news.extend(self.table.told(self.now, &id)),
+                News::Outdated => outdated.extend(self.table.told(self.now, &id)),
+                News::None => {}
+            }
+        }
+        if let Some(number) = number {
+            self.send(from, Telegram::Confirmed(number));
+        }
+        if !outdated.is_empty() {
+            // Whoever told it told others too.
+            self.spread(outdated, None);
+        }
+        if news.is_empty() {
+            return;
+        }
+        self.actions.extend(news.iter().cloned().map(Action::Backend));
+        if self.views.len() <= ALL {
+            // Whoever told it told all that it reaches; those it doesn't are told by the next exchange, which comes sooner.
+            self.gossiped = self.gossiped.saturating_sub(SOONER);
+        } else if news.len() <= 4 {
+            // A few records are news that spreads; many are a repair.
+            self.spread_on(&news, Some(from));
+        }
+    }
+
     /// Tells all whom it knows; of many, some of its own zone and one of each other, who tell on in theirs.
     pub(crate) fn spread(&mut self, records: Vec<Backend>, except: Option<Ipv4Addr>) {
         let zone = self.start.card.zone.clone();
--- a/crates/signalbox/src/control.rs
+++ b/crates/signalbox/src/control.rs
@@ -3,6 +3,7 @@
 use crate::backends::{Backend, News, Stage, Table};
 use crate::call::{Call, Reply};
 use crate::gossip::{FIRST_GOSSIP, GOSSIP, SPEAKS};
+use crate::membership::{Membership, Survive};
 use crate::telegram::{Envelope, Telegram};
 use crate::Millis;
 use config_store::consensus::{self, Command, Record, Recovered, Replica, State, Term};
@@ -28,8 +29,8 @@
     pub seeds: Vec<Ipv4Addr>,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
-    /// So many machines of the core may be lost at once.
-    pub survive: usize,
+    /// What may be lost at once.
+    pub survive: Survive,
     /// Between two beats of a backend.
     pub beat_ms: Millis,
     /// Draws.
@@ -53,6 +54,8 @@
     Used(u32, Vec<Use>),
     /// Other addresses to begin with.
     Seeds(Vec<Ipv4Addr>),
+    /// The process is to end.
+    Leave,
 }
 
 /// What a machine asks of its host.
@@ -120,6 +123,7 @@
     pub(crate) own: BTreeSet<u64>,
     pub(crate) last_own: u64,
     pub(crate) begun: Option<Ipv4Addr>,
+    pub(crate) membership: Membership,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -152,6 +156,7 @@
             own: BTreeSet::new(),
             last_own: 1 << 62,
             begun: None,
+            membership: Membership::default(),
             actions: Vec::new(),
             start,
         }
@@ -190,6 +195,7 @@
                 None => {}
             },
             Event::Seeds(seeds) => self.start.seeds = seeds,
+            Event::Leave => self.leave(),
         }
         self.watch_leadership();
         std::mem::take(&mut self.actions)
@@ -258,7 +264,9 @@
         self.retell();
         self.review_unconfirmed();
         self.bootstrap_log();
+        self.ask_for_vote();
         self.reconcile_voters();
+        self.keep_leaving();
     }
 
     fn hear(&mut self, from: Ipv4Addr, life: u64, telegram: Telegram) {
@@ -286,32 +294,10 @@
                     self.send(from, Telegram::Backends(records, None));
                 }
             }
-            Telegram::Backends(records, number) => {
-                let (mut news, mut outdated) = (Vec::new(), Vec::new());
-                for record in records {
-                    let id = record.id.clone();
-                    match self.table.hear(self.now, record, false) {
-                        News::Changed => news.extend(self.table.told(self.now, &id)),
-                        News::Outdated => outdated.extend(self.table.told(self.now, &id)),
-                        News::None => {}
-                    }
-                }
-                if let Some(number) = number {
-                    self.send(from, Telegram::Confirmed(number));
-                }
-                if !outdated.is_empty() {
-                    // Whoever told it told others too.
-                    self.spread(outdated, None);
-                }
-                if !news.is_empty() {
-                    self.actions.extend(news.iter().cloned().map(Action::Backend));
-                    // A few records are news that spreads; many are a repair.
-                    if news.len() <= 4 && self.views.len() > ALL {
-                        self.spread_on(&news, Some(from));
-                    }
-                }
-            }
+            Telegram::Backends(records, number) => self.receive_backends(from, records, number),
             Telegram::Confirmed(number) => self.confirmed(number, from),
+            Telegram::Leaving(disk, index) => self.left_by(from, disk, index),
+            Telegram::Released => self.released(),
             Telegram::Bootstrap(slots) => {
                 if self.start.first_start && self.start.card.disk != 0 {
                     let done = self.replica.bootstrap(self.now, slots);
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod telegram;
 
 pub use control::{Action, Control, Event, Start};
+pub use membership::Survive;
 
 /// Milliseconds of the steady clock.
 pub type Millis = u64;
--- a/crates/signalbox/src/membership.rs
+++ b/crates/signalbox/src/membership.rs
@@ -1,20 +1,182 @@
-//! What the leader of leadership keeps in order: who votes, and into how many parts limits are cut.
+//! The membership reconciler: the leader keeps the set of voters as it ought to be, by one agreed step at a time.
+//!
+//! - A machine of the core that has no vote asks the leader for one, again and again, and says how far it knows the log.
+//!   It is let in once it has caught up.
+//! - A voter that does not answer heartbeats goes, as soon as those who stay and those who wait to come in are enough to
+//!   bear the losses that the system must survive. It goes *before* its successor comes: so a successor that is lost at
+//!   once leaves no second silent voter behind.
+//! - A voter that is about to end says so, and ends once a majority of those who stay knows all that it knows.
+//!
+//! Who decides here is the leader; what it decides is an entry of the log like any other.
 
-use crate::control::{Control, ALL};
+use crate::control::Control;
 use crate::telegram::Telegram;
 use crate::Millis;
-use config_store::consensus::{Command, VoterId};
+use config_store::consensus::{Command, LogIndex, VoterId};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
+use telegraph::views::Card;
 
-/// A machine that was heard so lately may be let in.
-const FRESH: Millis = 2_500;
-/// A voter that nobody has heard for so long is let go of, if those who are left bear it.
-const LOST: Millis = 12_000;
-/// The first seed waits so long for others of the core before the chain begins without itself.
+/// A voter that has not answered for so long is silent.
+const SILENCE: Millis = 1_200;
+/// One that has not answered for so long may be: nobody is let in until it has answered, or is silent.
+const SUSPECT: Millis = 400;
+/// A voter that fell silent and came back is borne with for twice as long each time, this many times at the most.
+const MOST_DOUBLINGS: u32 = 3;
+/// After so long without falling silent again it is a voter like the others.
+const FORGIVEN: Millis = 60_000;
+/// Between two requests for a vote, and between two of one that leaves.
+const ASK_EVERY: Millis = 150;
+/// Who asks for a vote has asked twice, so far apart at the least. Guards against a request that comes late.
+const ASKED_TWICE: Millis = 90;
+/// A request for a vote holds for so long, and that of one that leaves.
+const REQUEST_HOLDS: Millis = 700;
+/// Who waits for a vote has caught up if it lacks no more entries than this.
+const CAUGHT_UP: LogIndex = 64;
+/// The first seed waits so long for others of the core before it begins the log without itself.
 const MEET: Millis = 150;
 
+/// What may be lost at once with all rules kept.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Survive {
+    /// Machines of the core.
+    pub machines: usize,
+    /// Whole zones.
+    pub zones: usize,
+    /// Whole regions.
+    pub regions: usize,
+    /// The region of each zone.
+    pub region_of: BTreeMap<String, String>,
+}
+
+impl Survive {
+    /// So many machines of the core, and no zone.
+    pub fn machines(machines: usize) -> Survive {
+        Survive { machines, ..Survive::default() }
+    }
+
+    /// Whether voters in these zones keep a majority over each loss that is to be borne. A voter whose zone is not known
+    /// stands in one of its own.
+    pub fn is_borne_by(&self, zones: &[Option<&str>]) -> bool {
+        let lost_with_zones = largest_groups(zones.iter().copied(), self.zones);
+        let region = |zone: &Option<&str>| zone.and_then(|zone| self.region_of.get(zone)).map(String::as_str);
+        let lost_with_regions = largest_groups(zones.iter().map(region), self.regions);
+        let most = self.machines.max(lost_with_zones).max(lost_with_regions);
+        zones.len() > most && zones.len() - most > zones.len() / 2
+    }
+}
+
+/// How many voters stand in the so many largest groups together.
+fn largest_groups<'a>(names: impl Iterator<Item = Option<&'a str>>, groups: usize) -> usize {
+    let (mut sizes, mut unknown) = (BTreeMap::<&str, usize>::new(), 0);
+    for name in names {
+        match name {
+            Some(name) => *sizes.entry(name).or_default() += 1,
+            None => unknown += 1,
+        }
+    }
+    let mut sizes: Vec<usize> = sizes.into_values().chain(std::iter::repeat_n(1, unknown)).collect();
+    sizes.sort_unstable();
+    sizes.into_iter().rev().take(groups).sum()
+}
+
+/// A machine that asks for a vote.
+#[derive(Debug, Clone, Copy)]
+struct Joiner {
+    disk: u64,
+    index: LogIndex,
+    first: Millis,
+    last: Millis,
+}
+
+/// A voter that says that it ends.
+#[derive(Debug, Clone, Copy)]
+struct Leaver {
+    disk: u64,
+    at: Millis,
+}
+
+/// How often a voter fell silent and came back, and when it last fell silent.
+#[derive(Debug, Clone, Copy)]
+struct Flaps {
+    count: u32,
+    at: Millis,
+}
+
+/// What a machine keeps of requests for votes.
+#[derive(Debug, Default)]
+pub(crate) struct Membership {
+    joiners: BTreeMap<Ipv4Addr, Joiner>,
+    leavers: BTreeMap<Ipv4Addr, Leaver>,
+    flaps: BTreeMap<Ipv4Addr, Flaps>,
+    zones: BTreeMap<Ipv4Addr, String>,
+    asked: Millis,
+    turn: usize,
+    /// Whether this machine is about to end, and whether it may.
+    leaves: bool,
+    is_released: bool,
+}
+
+impl Membership {
+    /// A machine of the core tells of itself and how far it knows the log.
+    pub(crate) fn hear(&mut self, now: Millis, card: &Card, index: LogIndex) {
+        if !card.counted || card.disk == 0 {
+            return;
+        }
+        self.zones.insert(card.ip, card.zone.clone());
+        let fresh = Joiner { disk: card.disk, index, first: now, last: now };
+        let joiner = self.joiners.entry(card.ip).or_insert(fresh);
+        if joiner.disk != card.disk || now >= joiner.last + REQUEST_HOLDS {
+            *joiner = fresh;
+        }
+        (joiner.index, joiner.last) = (index, now);
+    }
+
+    fn forget_old(&mut self, now: Millis) {
+        self.joiners.retain(|_, joiner| now < joiner.last + REQUEST_HOLDS);
+        self.leavers.retain(|_, leaver| now < leaver.at + REQUEST_HOLDS);
+        self.flaps.retain(|_, flaps| now < flaps.at + FORGIVEN);
+    }
+
+    /// Machines that have asked twice and do not leave.
+    fn asking(&self) -> impl Iterator<Item = (VoterId, LogIndex)> + '_ {
+        let has_asked_twice = |joiner: &Joiner| joiner.last >= joiner.first + ASKED_TWICE;
+        self.joiners
+            .iter()
+            .filter(move |(ip, joiner)| has_asked_twice(joiner) && !self.leavers.contains_key(*ip))
+            .map(|(ip, joiner)| (VoterId { ip: *ip, disk: joiner.disk }, joiner.index))
+    }
+
+    fn zones<'a>(&'a self, voters: impl Iterator<Item = &'a VoterId>) -> Vec<Option<&'a str>> {
+        voters.map(|voter| self.zones.get(&voter.ip).map(String::as_str)).collect()
+    }
+
+    /// For how long a voter may be silent.
+    fn patience(&self, voter: VoterId) -> Millis {
+        SILENCE << self.flaps.get(&voter.ip).map_or(0, |flaps| flaps.count.min(MOST_DOUBLINGS))
+    }
+
+    fn fell_silent(&mut self, now: Millis, voter: VoterId) {
+        let flaps = self.flaps.entry(voter.ip).or_insert(Flaps { count: 0, at: now });
+        (flaps.count, flaps.at) = (flaps.count + 1, now);
+    }
+}
+
+/// What is to be changed about the voters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Change {
+    /// Its disk was lost: it has forgotten its promises, and asks under another number.
+    Wiped(VoterId),
+    /// It does not answer.
+    Silent(VoterId),
+    /// It is about to end.
+    Leaves(VoterId),
+    /// It has caught up, and gets a vote.
+    Joins(VoterId),
+}
+
 impl Control {
-    /// The first seed of the very first start says who begins the chain: itself, or the first of the core that it meets.
+    /// The first seed of the very first start says who begins the log: itself, or the first of the core that it meets.
     /// Nobody else ever does, so there is one beginning.
     pub(crate) fn bootstrap_log(&mut self) {
         let card = &self.start.card;
@@ -41,56 +203,182 @@
         }
     }
 
+    /// Whether the voters bear all losses that are to be borne.
+    pub(crate) fn bears_losses(&self) -> bool {
+        let zones = self.membership.zones(self.replica.state().voters.iter());
+        self.start.survive.is_borne_by(&zones)
+    }
+
     /// Changes the set of voters by one, if it is not as it ought to be.
     pub(crate) fn reconcile_voters(&mut self) {
+        self.membership.forget_old(self.now);
         if !self.replica.leads() || !self.own.is_empty() {
             return;
         }
+        let change = self.next_change();
         let state = self.replica.state().clone();
-        let known = (self.views.len() + 1).max(self.lender.doors(self.now)) as u32;
-        let slots = state.slots.max(known);
         let mut voters = state.voters.clone();
-        let of_core: Vec<VoterId> = self
-            .views
-            .cards()
-            .filter(|card| card.counted && card.disk != 0)
-            .filter(|card| self.views.age(card.ip, self.now).is_some_and(|age| age < FRESH))
-            .map(|card| VoterId { ip: card.ip, disk: card.disk })
-            .collect();
-        let at = |ip: Ipv4Addr| state.voters.iter().position(|voter| voter.ip == ip);
-        let has_lost_its_disk =
-            |voter: &VoterId| at(voter.ip).is_some_and(|index| state.voters[index].disk != voter.disk);
-        if let Some(wiped) = of_core.iter().find(|voter| has_lost_its_disk(voter)) {
-            // It knows nothing of what its disk promised: it goes before it comes back as another.
-            voters.retain(|voter| voter.ip != wiped.ip);
-        } else if let Some(new) = of_core.iter().find(|voter| at(voter.ip).is_none()) {
-            voters.push(*new);
-            voters.sort();
-        } else if let Some(lost) = self.lost_voter() {
-            voters.retain(|voter| voter.ip != lost);
+        match change {
+            Some(Change::Wiped(voter) | Change::Leaves(voter)) => voters.retain(|other| *other != voter),
+            Some(Change::Silent(voter)) => {
+                self.membership.fell_silent(self.now, voter);
+                voters.retain(|other| *other != voter);
+            }
+            Some(Change::Joins(voter)) => {
+                voters.push(voter);
+                voters.sort();
+            }
+            None => {}
         }
+        let known = (self.views.len() + 1).max(self.lender.doors(self.now)) as u32;
+        let slots = state.slots.max(known);
         // Parts are cut anew with the voters, or once those who start together have met.
         let met = slots > state.slots && self.replica.has_led(self.now, 1_500);
-        if voters != state.voters || met {
-            self.last_own += 1;
-            self.own.insert(self.last_own);
-            let command = Command::Voters { voters, slots };
-            let done = self.replica.ask(self.now, self.last_own, command);
-            self.carry_out(done);
+        if change.is_some() || met {
+            self.ask_for_voters(voters, slots);
         }
     }
 
-    /// A voter that nobody has heard for long, where more than it takes to bear the next loss are there.
-    fn lost_voter(&self) -> Option<Ipv4Addr> {
+    fn ask_for_voters(&mut self, voters: Vec<VoterId>, slots: u32) {
+        self.last_own += 1;
+        self.own.insert(self.last_own);
+        let done = self.replica.ask(self.now, self.last_own, Command::Voters { voters, slots });
+        self.carry_out(done);
+    }
+
+    /// The change that is due first.
+    fn next_change(&self) -> Option<Change> {
+        self.wiped_voter().or_else(|| self.departing_voter()).or_else(|| self.joining_voter())
+    }
+
+    fn wiped_voter(&self) -> Option<Change> {
+        let voters = &self.replica.state().voters;
+        let asks_anew = |voter: &&VoterId| {
+            self.membership.asking().any(|(other, _)| other.ip == voter.ip && other.disk != voter.disk)
+        };
+        voters.iter().find(asks_anew).copied().map(Change::Wiped)
+    }
+
+    /// A voter that is silent or ends, where the others and those who wait for a vote are enough.
+    fn departing_voter(&self) -> Option<Change> {
         let voters = &self.replica.state().voters;
-        let me = self.start.card.ip;
-        let is_lost = |ip: Ipv4Addr| {
-            ip != me
-                && self.views.age(ip, self.now).is_none_or(|age| age >= LOST.min(telegraph::views::STALE))
+        let silence = |voter: &VoterId| self.replica.silence_of(*voter, self.now).unwrap_or_default();
+        let silent = voters
+            .iter()
+            .filter(|voter| silence(voter) >= self.membership.patience(**voter))
+            .max_by_key(|voter| silence(voter))
+            .map(|voter| Change::Silent(*voter));
+        let leaves = |voter: &&VoterId| {
+            self.membership.leavers.get(&voter.ip).is_some_and(|leaver| leaver.disk == voter.disk)
         };
-        let lost: Vec<Ipv4Addr> = voters.iter().map(|voter| voter.ip).filter(|ip| is_lost(*ip)).collect();
-        let few_known = self.views.len() >= ALL * 2;
-        (voters.len() > 3 && !few_known && self.replica.has_led(self.now, LOST))
-            .then(|| lost.first().copied())?
+        let leaving = voters.iter().find(leaves).map(|voter| Change::Leaves(*voter));
+        silent.into_iter().chain(leaving).find(|change| match change {
+            Change::Silent(voter) | Change::Leaves(voter) => self.can_do_without(*voter),
+            _ => false,
+        })
+    }
+
+    /// Whether the set without this voter, filled up by those who wait for a vote, bears all losses, or is at the least as
+    /// large as it is now.
+    fn can_do_without(&self, voter: VoterId) -> bool {
+        let voters = &self.replica.state().voters;
+        let joiners: Vec<VoterId> = self.caught_up().collect();
+        let after: Vec<&VoterId> = voters.iter().filter(|other| **other != voter).chain(&joiners).collect();
+        let zones = self.membership.zones(after.iter().copied());
+        self.start.survive.is_borne_by(&zones) || (!self.bears_losses() && after.len() >= voters.len())
+    }
+
+    /// Those who wait for a vote and know enough of the log.
+    fn caught_up(&self) -> impl Iterator<Item = VoterId> + '_ {
+        let state = self.replica.state();
+        let has_vote = |ip: Ipv4Addr| state.voters.iter().any(|voter| voter.ip == ip);
+        self.membership
+            .asking()
+            .filter(move |(voter, index)| !has_vote(voter.ip) && index + CAUGHT_UP >= state.index)
+            .map(|(voter, _)| voter)
+    }
+
+    fn joining_voter(&self) -> Option<Change> {
+        let voters = &self.replica.state().voters;
+        let may_be_silent = |voter: &VoterId| {
+            let silence = self.replica.silence_of(*voter, self.now).unwrap_or_default();
+            (SUSPECT..self.membership.patience(*voter)).contains(&silence)
+        };
+        if voters.iter().any(may_be_silent) {
+            return None;
+        }
+        let first = self.caught_up().next();
+        first.map(Change::Joins)
+    }
+
+    /// A machine of the core without a vote asks the leader for one; while it hears no leader, others of the core.
+    pub(crate) fn ask_for_vote(&mut self) {
+        let card = &self.start.card;
+        let (me, now) = (card.ip, self.now);
+        let leader = self.leader().map(|(_, ip)| ip);
+        let waits = !self.replica.votes() || leader.is_none();
+        let is_of_core = card.counted && card.disk != 0 && !self.membership.leaves;
+        if !is_of_core || !waits || now < self.membership.asked + ASK_EVERY {
+            return;
+        }
+        self.membership.asked = now;
+        self.membership.turn += 1;
+        let others: Vec<Ipv4Addr> = self.core().into_iter().filter(|ip| *ip != me).collect();
+        let turn = self.membership.turn % others.len().max(1);
+        if let Some(ip) = leader.or_else(|| others.get(turn).copied()) {
+            self.gossip_to(ip, true);
+        }
+    }
+
+    /// This machine is about to end: it hands leadership over, and gives its vote back where the others can do without it.
+    pub(crate) fn leave(&mut self) {
+        self.membership.leaves = true;
+        self.keep_leaving();
+    }
+
+    /// Whether this machine, which is about to end, may: it has no vote, or all that it knows is known to enough others.
+    pub fn is_released(&self) -> bool {
+        self.membership.is_released || self.start.card.disk == 0 || !self.start.card.counted
+    }
+
+    pub(crate) fn keep_leaving(&mut self) {
+        if !self.membership.leaves || self.is_released() {
+            return;
+        }
+        let done = self.replica.leave(self.now);
+        self.carry_out(done);
+        if self.now < self.membership.asked + ASK_EVERY && self.membership.asked > 0 {
+            return;
+        }
+        self.membership.asked = self.now;
+        let index = self.replica.state().index;
+        match self.leader() {
+            Some((_, ip)) if ip != self.start.card.ip => {
+                self.send(ip, Telegram::Leaving(self.start.card.disk, index));
+            }
+            _ => {}
+        }
+    }
+
+    /// A voter says that it ends, and how far it knows the log.
+    pub(crate) fn left_by(&mut self, from: Ipv4Addr, disk: u64, index: LogIndex) {
+        if !self.replica.leads() {
+            return;
+        }
+        let leaver = VoterId { ip: from, disk };
+        self.membership.leavers.insert(from, Leaver { disk, at: self.now });
+        let voters = self.replica.state().voters.clone();
+        let has_vote = voters.contains(&leaver);
+        if has_vote && self.can_do_without(leaver) {
+            return self.reconcile_voters();
+        }
+        let others: BTreeSet<VoterId> = voters.into_iter().filter(|voter| *voter != leaver).collect();
+        if self.replica.is_known_to_majority_of(&others, index) {
+            self.send(from, Telegram::Released);
+        }
+    }
+
+    pub(crate) fn released(&mut self) {
+        self.membership.is_released = self.membership.leaves;
     }
 }
--- a/crates/signalbox/src/operator.rs
+++ b/crates/signalbox/src/operator.rs
@@ -11,8 +11,7 @@
     pub(crate) fn ask_leader(&mut self, number: u64, command: Command) {
         if self.replica.leads() {
             // Guards a word against being kept by fewer than it takes to bear a loss, while the core still meets.
-            let few = self.replica.state().voters.len() < 2 * self.start.survive + 1;
-            if few && self.now < self.born + 4_000 {
+            if !self.bears_losses() && self.now < self.born + 4_000 {
                 return self.reply(number, Reply::NotNow("the core still meets"));
             }
             let done = self.replica.ask(self.now, number, command);
--- a/crates/signalbox/src/telegram.rs
+++ b/crates/signalbox/src/telegram.rs
@@ -43,6 +43,12 @@
     /// Begin the chain: only one machine is ever told.
     #[serde(rename = "g")]
     Bootstrap(u32),
+    /// A voter is about to end; the number of its disk, and how far it knows the log.
+    #[serde(rename = "e")]
+    Leaving(u64, LogIndex),
+    /// To one that is about to end: it may.
+    #[serde(rename = "d")]
+    Released,
     /// A door's counts, to the leader: number, counts.
     #[serde(rename = "u")]
     Used(u32, Vec<Use>),
--- a/crates/signalbox/tests/scenarios.rs
+++ b/crates/signalbox/tests/scenarios.rs
@@ -60,6 +60,8 @@
     four_voters_bear_one_loss,
     four_voters_in_two_halves_take_nothing,
     late_repeats_undo_nothing,
+    machines_of_four_are_replaced_one_after_another,
+    machines_of_three_are_replaced_one_after_another,
     one_seed_is_down,
     seeds_are_exchanged,
     the_disk_of_the_leader_hangs,
