Ask for a vote by a message of its own; play replacements by seeds, mutants of the reconciler

Cause: gossip of a machine of the core counted as a request for a vote. Change: message Join, which a machine that is about to end never sends.

--- a/crates/signalbox/src/confirmations.rs
+++ b/crates/signalbox/src/confirmations.rs
@@ -9,7 +9,6 @@
 use crate::gossip::SPEAKS;
 use crate::telegram::Telegram;
 use crate::Millis;
-use config_store::consensus::mutants::{is_chosen, Mutant};
 use config_store::consensus::LogIndex;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -120,8 +119,7 @@
     /// Looks what has become of each call that waits.
     pub(crate) fn review_unconfirmed(&mut self) {
         let (now, core) = (self.now, self.core());
-        let knows_newest = self.replica.state().index >= self.confirmations.newest;
-        let is_current = knows_newest || is_chosen(Mutant::FormerVotersConfirm);
+        let is_current = self.replica.state().index >= self.confirmations.newest;
         let numbers: Vec<u64> = self.confirmations.open.keys().copied().collect();
         for number in numbers {
             let Some(unconfirmed) = self.confirmations.open.get(&number) else { continue };
--- a/crates/signalbox/src/control.rs
+++ b/crates/signalbox/src/control.rs
@@ -282,6 +282,7 @@
             }
             Telegram::Backends(records, number) => self.receive_backends(from, records, number),
             Telegram::Confirmed(number, index) => self.confirmed(number, from, index),
+            Telegram::Join(disk, index) => self.join_asked_by(from, disk, index),
             Telegram::Leaving(disk, index) => self.left_by(from, disk, index),
             Telegram::Released => self.released(),
             Telegram::Bootstrap(slots) => {
--- a/crates/signalbox/src/gossip.rs
+++ b/crates/signalbox/src/gossip.rs
@@ -87,7 +87,7 @@
     ) {
         let from = card.ip;
         self.indexes.insert(from, index);
-        self.membership.hear(self.now, &card, index);
+        self.membership.note_zone(&card);
         self.views.hear(self.now, (card, 0));
         for aged in cards {
             self.views.hear(self.now, aged);
--- a/crates/signalbox/src/membership.rs
+++ b/crates/signalbox/src/membership.rs
@@ -119,15 +119,18 @@
 }
 
 impl Membership {
-    /// A machine of the core tells of itself and how far it knows the log.
-    pub(crate) fn hear(&mut self, now: Millis, card: &Card, index: LogIndex) {
-        if !card.counted || card.disk == 0 {
-            return;
+    /// A machine of the core tells in which zone it stands.
+    pub(crate) fn note_zone(&mut self, card: &Card) {
+        if card.counted {
+            self.zones.insert(card.ip, card.zone.clone());
         }
-        self.zones.insert(card.ip, card.zone.clone());
-        let fresh = Joiner { disk: card.disk, index, first: now, last: now };
-        let joiner = self.joiners.entry(card.ip).or_insert(fresh);
-        if joiner.disk != card.disk || now >= joiner.last + REQUEST_HOLDS {
+    }
+
+    /// A machine asks for a vote.
+    fn asked_by(&mut self, now: Millis, from: Ipv4Addr, disk: u64, index: LogIndex) {
+        let fresh = Joiner { disk, index, first: now, last: now };
+        let joiner = self.joiners.entry(from).or_insert(fresh);
+        if joiner.disk != disk || now >= joiner.last + REQUEST_HOLDS {
             *joiner = fresh;
         }
         (joiner.index, joiner.last) = (index, now);
@@ -316,25 +319,39 @@
         first.map(Change::Joins)
     }
 
-    /// A machine of the core without a vote asks the leader for one; while it hears no leader, others of the core.
+    /// A machine of the core without a vote asks the leader for one; while it knows no leader, others of the core who leads.
+    /// One that is about to end never asks.
     pub(crate) fn ask_for_vote(&mut self) {
         let card = &self.start.card;
-        let (me, now) = (card.ip, self.now);
+        let (me, disk, now) = (card.ip, card.disk, self.now);
         let leader = self.leader().map(|(_, ip)| ip);
         let waits = !self.replica.votes() || leader.is_none();
-        let is_of_core = card.counted && card.disk != 0 && !self.membership.leaves;
+        let is_of_core = card.counted && disk != 0 && !self.membership.leaves;
         if !is_of_core || !waits || now < self.membership.asked + ASK_EVERY {
             return;
         }
         self.membership.asked = now;
         self.membership.turn += 1;
+        if let Some(ip) = leader {
+            return self.send(ip, Telegram::Join(disk, self.replica.state().index));
+        }
         let others: Vec<Ipv4Addr> = self.core().into_iter().filter(|ip| *ip != me).collect();
         let turn = self.membership.turn % others.len().max(1);
-        if let Some(ip) = leader.or_else(|| others.get(turn).copied()) {
+        if let Some(ip) = others.get(turn).copied() {
             self.gossip_to(ip, true);
         }
     }
 
+    /// A machine asks for a vote: it is told what it lacks, or who leads.
+    pub(crate) fn join_asked_by(&mut self, from: Ipv4Addr, disk: u64, index: LogIndex) {
+        if !self.replica.leads() {
+            return self.gossip_to(from, false);
+        }
+        self.membership.asked_by(self.now, from, disk, index);
+        self.send_entries(from, index);
+        self.reconcile_voters();
+    }
+
     /// This machine is about to end: it hands leadership over, and gives its vote back where the others can do without it.
     pub(crate) fn leave(&mut self) {
         self.membership.leaves = true;
--- a/crates/signalbox/src/telegram.rs
+++ b/crates/signalbox/src/telegram.rs
@@ -43,6 +43,9 @@
     /// Begin the chain: only one machine is ever told.
     #[serde(rename = "g")]
     Bootstrap(u32),
+    /// A machine of the core wants a vote; the number of its disk, and how far it knows the log.
+    #[serde(rename = "j")]
+    Join(u64, LogIndex),
     /// A voter is about to end; the number of its disk, and how far it knows the log.
     #[serde(rename = "e")]
     Leaving(u64, LogIndex),
--- /dev/null
+++ b/crates/signalbox/tests/mutants.rs
@@ -0,0 +1,56 @@
+//! Each fault that is let into the control plane on purpose is found by a scenario.
+#![cfg(feature = "mutants")]
+
+mod world;
+
+use config_store::consensus::mutants::{choose, Mutant};
+use std::path::Path;
+use test_case::test_case;
+use world::script;
+
+fn scenario(name: &str) -> String {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/scenarios/{name}.txt"));
+    std::fs::read_to_string(file).expect("the scenario")
+}
+
+/// The leader is lost at some moment while another machine, whose successor is there, is told to end.
+fn leader_lost_while_another_leaves(seed: u64) -> String {
+    format!(
+        "machines 4 disks, 2 plain, zones a b c\nsurvive 1\nseed {seed}\nup 0 1 2 4 5\nat 3 operator put v5 on 0 as first\n\
+         at 5 start 3\nat 9.9 name leader as old\nat 9.9 name last as ends\nat 10 stop ends\nat 10.{:03} kill old\n\
+         at 11 operator put v6 on 5 as second\nat 16 expect second 200\n",
+        1 + seed * 7 % 250
+    )
+}
+
+fn broken(text: &str) -> Vec<String> {
+    world::play(script::parse(text).expect("it makes sense"))
+}
+
+#[test_case(Mutant::SilentStays, "machines_of_three_are_replaced_one_after_another")]
+#[test_case(Mutant::SuccessorFirst, "a_successor_is_lost_within_a_second")]
+fn a_scenario_finds_it(mutant: Mutant, name: &str) {
+    let text = scenario(name);
+    assert_eq!(broken(&text), Vec::<String>::new(), "without the fault");
+    choose(Some(mutant));
+    let found = broken(&text);
+    choose(None);
+    println!("{mutant:?}: {found:?}");
+    assert!(!found.is_empty(), "{mutant:?} was not found");
+}
+
+#[test_case(Mutant::ReleasedUnasked, leader_lost_while_another_leaves)]
+fn some_moment_finds_it(mutant: Mutant, text: impl Fn(u64) -> String) {
+    let sound: Vec<u64> = (0..120).filter(|seed| !broken(&text(*seed)).is_empty()).collect();
+    assert_eq!(
+        sound,
+        Vec::<u64>::new(),
+        "without the fault: {:?}",
+        broken(&text(sound.first().copied().unwrap_or_default()))
+    );
+    choose(Some(mutant));
+    let found: Vec<u64> = (0..120).filter(|seed| !broken(&text(*seed)).is_empty()).collect();
+    choose(None);
+    println!("{mutant:?}: seeds {found:?}");
+    assert!(!found.is_empty(), "{mutant:?} was not found");
+}
--- a/crates/signalbox/tests/scenarios.rs
+++ b/crates/signalbox/tests/scenarios.rs
@@ -50,6 +50,7 @@
     a_sign_off_at_a_door_cut_off_that_knows_nothing,
     a_sign_off_reaches_a_door_that_never_heard_of_the_backend,
     a_successor_is_lost_at_once,
+    a_successor_is_lost_within_a_second,
     a_version_is_not_above,
     a_voter_sends_and_does_not_hear,
     all_control_is_restarted_at_once,
