Take only a new heartbeat for a sign of life, of the leader and of a voter

Change: who hears a leader notes the number of its heartbeat, a leader that of each answer; only a higher one counts. A replica keeps the state at the last index that is a multiple of 64, as all replicas have the same there.

--- a/crates/config-store/src/consensus/leader.rs
+++ b/crates/config-store/src/consensus/leader.rs
@@ -203,7 +203,7 @@
 
     /// The leader of a term gives way to a voter: if that is this one, it campaigns at once.
     pub(super) fn transferred(&mut self, from: VoterId, term: Term, to: VoterId) {
-        let is_leader = self.heard.is_some_and(|(heard, ip, _)| heard == term && ip == from.ip);
+        let is_leader = self.heard.is_some_and(|heard| heard.term == term && heard.ip == from.ip);
         if !is_leader {
             return;
         }
@@ -322,8 +322,10 @@
         }
         let before = leading.answered.get(&from).copied();
         let before = before.unwrap_or(Answered { heartbeat: 0, at: now, index: 0 });
+        // Guards against an answer that comes late, or twice: it does not show that the voter hears this leader now.
+        let at = if heartbeat > before.heartbeat { now } else { before.at };
         let heartbeat = before.heartbeat.max(heartbeat);
-        leading.answered.insert(from, Answered { heartbeat, at: now, index: before.index.max(index) });
+        leading.answered.insert(from, Answered { heartbeat, at, index: before.index.max(index) });
         self.judge_waiting();
     }
 
--- a/crates/config-store/src/consensus/mutants.rs
+++ b/crates/config-store/src/consensus/mutants.rs
@@ -33,6 +33,8 @@
     ReleasedUnasked,
     /// A snapshot is taken in whose digest is another.
     SnapshotUnchecked,
+    /// A machine that is cut off hands its configuration out.
+    CutOffHandsOut,
 }
 
 /// Every fault of consensus itself.
@@ -50,8 +52,13 @@
 ];
 
 /// Every fault of the control plane around it.
-pub const CONTROL: [Mutant; 4] =
-    [Mutant::SilentStays, Mutant::SuccessorFirst, Mutant::ReleasedUnasked, Mutant::SnapshotUnchecked];
+pub const CONTROL: [Mutant; 5] = [
+    Mutant::SilentStays,
+    Mutant::SuccessorFirst,
+    Mutant::ReleasedUnasked,
+    Mutant::SnapshotUnchecked,
+    Mutant::CutOffHandsOut,
+];
 
 #[cfg(feature = "mutants")]
 mod chosen {
--- a/crates/config-store/src/consensus/replica.rs
+++ b/crates/config-store/src/consensus/replica.rs
@@ -35,7 +35,17 @@
     pub open: Option<(Term, Entry)>,
 }
 
-/// One machine's copy of the chain.
+/// A leader as it was heard last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct HeardLeader {
+    pub term: Term,
+    pub ip: Ipv4Addr,
+    /// The number of its latest heartbeat.
+    pub heartbeat: u64,
+    pub at: Millis,
+}
+
+/// One machine's copy of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Replica {
     pub(super) me: VoterId,
@@ -46,8 +56,10 @@
     /// The latest entries, the newest last.
     kept: VecDeque<Chosen>,
     kept_bytes: usize,
-    /// The leader that was heard last, under which term, and when.
-    pub(super) heard: Option<(Term, Ipv4Addr, Millis)>,
+    /// The state at the last index that all replicas take a snapshot of.
+    checkpoint: Option<Arc<State>>,
+    /// The leader that was heard last.
+    pub(super) heard: Option<HeardLeader>,
     /// Whether a leader was heard, or somebody stood, in this life.
     is_born: bool,
     /// Since when this voter would take leadership.
@@ -77,6 +89,7 @@
             open: found.open,
             kept: VecDeque::new(),
             kept_bytes: 0,
+            checkpoint: None,
             heard: None,
             is_born: false,
             quiet_since: now,
@@ -135,7 +148,7 @@
     pub fn leader(&self, now: Millis) -> Option<(Term, Ipv4Addr)> {
         match &self.role {
             Role::Leader(leading) => Some((leading.term, self.me.ip)),
-            _ => self.heard.filter(|(_, _, at)| now < at + 2 * SILENCE).map(|(term, ip, _)| (term, ip)),
+            _ => self.heard.filter(|heard| now < heard.at + 2 * SILENCE).map(|heard| (heard.term, heard.ip)),
         }
     }
 
@@ -157,6 +170,11 @@
             .then(|| self.kept.iter().filter(|chosen| chosen.index > index).cloned().collect())
     }
 
+    /// The state at the last index that every replica takes a snapshot of, if this one has gone by it: all have the same.
+    pub fn checkpoint(&self) -> Option<Arc<State>> {
+        self.checkpoint.clone()
+    }
+
     /// Takes in entries that are known to be chosen.
     pub fn learn(&mut self, now: Millis, entries: Vec<Chosen>) -> Vec<Action> {
         self.now = now;
@@ -296,7 +314,7 @@
         }
         let held = match &self.role {
             Role::Leader(leading) => leading.has_quorum(self.now, &self.state) && from.ip != self.me.ip,
-            _ => self.heard.is_some_and(|(_, ip, at)| self.now < at + LIVES && ip != from.ip),
+            _ => self.heard.is_some_and(|heard| self.now < heard.at + LIVES && heard.ip != from.ip),
         };
         let below = term < self.promised && !is_chosen(Mutant::PromiseBroken);
         if below || (term > self.promised && held) {
@@ -331,7 +349,7 @@
         if term < self.promised && !is_chosen(Mutant::PromiseBroken) {
             return self.send(from.ip, Message::Refuse { term: self.promised });
         }
-        self.hear_leader(term, from.ip);
+        self.hear_leader(term, from.ip, 0);
         if index > self.state.index + 1 {
             return self.actions.push(Action::Fetch(from.ip));
         }
@@ -357,7 +375,7 @@
         if term < self.promised && !is_chosen(Mutant::PromiseBroken) {
             return self.send(from.ip, Message::Refuse { term: self.promised });
         }
-        self.hear_leader(term, from.ip);
+        self.hear_leader(term, from.ip, heartbeat);
         if index == self.state.index + 1 {
             if let Some((_, entry)) = self.open.take_if(|(under, _)| *under == term) {
                 self.advance_open(entry);
@@ -369,13 +387,20 @@
         self.send(from.ip, Message::Follow { term, index: self.state.index, heartbeat });
     }
 
-    fn hear_leader(&mut self, term: Term, ip: Ipv4Addr) {
+    /// A leader says something. Only a heartbeat that was not heard before shows that it lives: an old one may come late, or
+    /// twice.
+    fn hear_leader(&mut self, term: Term, ip: Ipv4Addr, heartbeat: u64) {
         self.is_born = true;
-        if ip != self.me.ip {
-            if self.role.term().is_some_and(|own| own < term) {
-                self.step_down();
-            }
-            (self.heard, self.quiet_since) = (Some((term, ip, self.now)), self.now);
+        if ip == self.me.ip {
+            return;
+        }
+        if self.role.term().is_some_and(|own| own < term) {
+            self.step_down();
+        }
+        let is_news = self.heard.is_none_or(|heard| (term, heartbeat) > (heard.term, heard.heartbeat));
+        if is_news {
+            self.heard = Some(HeardLeader { term, ip, heartbeat, at: self.now });
+            self.quiet_since = self.now;
         }
     }
 
@@ -405,7 +430,11 @@
             self.kept_bytes -= oldest.entry.size();
         }
         self.actions.push(Action::Moved(Some(chosen)));
-        if self.me.disk != 0 && self.state.index.is_multiple_of(SNAPSHOT) {
+        if !self.state.index.is_multiple_of(SNAPSHOT) {
+            return;
+        }
+        self.checkpoint = Some(self.state.clone());
+        if self.me.disk != 0 {
             self.write_whole();
         }
     }
--- a/crates/config-store/tests/common/mod.rs
+++ b/crates/config-store/tests/common/mod.rs
@@ -694,3 +694,39 @@
     }
     answers
 }
+
+fn of_three(one: usize) -> Replica {
+    let id = |one: usize| VoterId { ip: ip(one), disk: one as u64 + 1 };
+    let state = State::genesis((0..3).map(id).collect(), 4);
+    Replica::new(ip(one), one as u64 + 1, Some(Recovered { promised: (0, 0), state, open: None }), 0)
+}
+
+/// The second of three voters, and who the first is.
+pub fn follower_of_three() -> (Replica, VoterId) {
+    (of_three(1), VoterId { ip: ip(0), disk: 1 })
+}
+
+/// The first of three voters, which leads from 300 ms on; who the second is; and the term.
+pub fn leader_of_three() -> (Replica, VoterId, Term) {
+    let (mut replica, other) = (of_three(0), VoterId { ip: ip(1), disk: 2 });
+    let mut led = None;
+    for now in (50..=300).step_by(50) {
+        let mut actions = replica.tick(now);
+        while let Some(action) = actions.pop() {
+            match action {
+                Action::Send(to, Message::Prepare { term }) if to == other.ip => {
+                    led = Some(term);
+                    actions.extend(replica.receive(
+                        now,
+                        other,
+                        Message::Promise { term, index: 1, open: None },
+                    ));
+                }
+                Action::Write(number, _) => actions.extend(replica.written(now, number, true)),
+                _ => {}
+            }
+        }
+    }
+    assert!(replica.leads());
+    (replica, other, led.expect("it has campaigned"))
+}
