Doubt what a machine that was cut off knows of live backends

Change: isolation.rs: who hears the core again after 1.2 s doubts what it knows of live backends, but for those whose beat came to it within an interval; it tells nobody of them and uses them on, until another machine tells of them; what nobody told again 0.8 s behind a comparison of the tables is dropped. Scenario a_sign_off_that_only_a_killed_core_knew, red with mutant IsolationTrusted.

--- a/crates/config-store/src/consensus/mutants.rs
+++ b/crates/config-store/src/consensus/mutants.rs
@@ -35,6 +35,8 @@
     SnapshotUnchecked,
     /// A machine that is cut off hands its configuration out.
     CutOffHandsOut,
+    /// One that was cut off tells others of backends as it knew them.
+    IsolationTrusted,
 }
 
 /// Every fault of consensus itself.
@@ -52,12 +54,13 @@
 ];
 
 /// Every fault of the control plane around it.
-pub const CONTROL: [Mutant; 5] = [
+pub const CONTROL: [Mutant; 6] = [
     Mutant::SilentStays,
     Mutant::SuccessorFirst,
     Mutant::ReleasedUnasked,
     Mutant::SnapshotUnchecked,
     Mutant::CutOffHandsOut,
+    Mutant::IsolationTrusted,
 ];
 
 #[cfg(feature = "mutants")]
--- a/crates/signalbox/src/backend_calls.rs
+++ b/crates/signalbox/src/backend_calls.rs
@@ -19,6 +19,9 @@
 impl Control {
     /// Takes in records that another machine tells.
     pub(crate) fn receive_backends(&mut self, from: Ipv4Addr, records: Vec<Backend>, number: Option<u64>) {
+        if number.is_none() && !records.is_empty() {
+            self.compared();
+        }
         let (mut news, mut outdated) = (Vec::new(), Vec::new());
         for record in records {
             let id = record.id.clone();
--- a/crates/signalbox/src/backends.rs
+++ b/crates/signalbox/src/backends.rs
@@ -110,6 +110,14 @@
     beat: Option<Millis>,
     /// Until when it is slow from its start.
     warm_at: Millis,
+    /// Whether this machine was cut off since it heard of it, and nobody has told it again.
+    doubted: bool,
+}
+
+impl Held {
+    fn is_own(&self, since: Millis) -> bool {
+        self.beat.is_some_and(|at| at >= since)
+    }
 }
 
 /// The table of backends at one machine.
@@ -144,9 +152,10 @@
         }
         let Some(held) = self.held.get_mut(&backend.id) else {
             let beat = own.then_some(now);
-            self.held.insert(backend.id.clone(), Held { backend, moved, beat, warm_at });
+            self.held.insert(backend.id.clone(), Held { backend, moved, beat, warm_at, doubted: false });
             return News::Changed;
         };
+        held.doubted = false;
         if backend.rank() <= held.backend.rank() {
             let heard_since = backend.stage == Stage::Silent && held.backend.stage == Stage::Ready;
             return if heard_since { News::Outdated } else { News::None };
@@ -199,8 +208,10 @@
             moved: now,
             beat: None,
             warm_at: now,
+            doubted: false,
         });
         held.backend.stage = Stage::Gone;
+        held.doubted = false;
         held.moved = now;
         tell(held, now)
     }
@@ -210,7 +221,7 @@
         let mut silent = Vec::new();
         for held in self.held.values_mut() {
             let stopped = held.beat.is_some_and(|at| now >= at + after);
-            if stopped && held.backend.stage == Stage::Ready {
+            if stopped && held.backend.stage == Stage::Ready && !held.doubted {
                 held.backend.stage = Stage::Silent;
                 silent.push(held.backend.clone());
             }
@@ -226,6 +237,23 @@
         }
     }
 
+    /// This machine was cut off: what it knows of live backends may be of long ago, but for those whose last beat came here
+    /// since a time. What is doubted is told to nobody until somebody tells it here.
+    pub fn doubt(&mut self, own_since: Millis) {
+        for held in self.held.values_mut() {
+            let is_live = matches!(held.backend.stage, Stage::Ready | Stage::Silent);
+            held.doubted = is_live && !held.is_own(own_since);
+        }
+    }
+
+    /// Drops what is doubted still. Returns the names.
+    pub fn drop_doubted(&mut self) -> Vec<String> {
+        let doubted = self.held.iter().filter(|(_, held)| held.doubted);
+        let names: Vec<String> = doubted.map(|(id, _)| id.clone()).collect();
+        self.held.retain(|_, held| !held.doubted);
+        names
+    }
+
     /// Drops what nothing has been heard of for long. Returns the names of those that were not gone.
     pub fn expire(&mut self, now: Millis) -> Vec<String> {
         let over = |held: &Held| now >= held.moved + lease(held.backend.stage);
@@ -259,10 +287,14 @@
         self.held.is_empty()
     }
 
+    fn trusted(&self) -> impl Iterator<Item = &Held> {
+        self.held.values().filter(|held| !held.doubted)
+    }
+
     /// The digest of each range.
     pub fn digests(&self) -> [u32; RANGES] {
         let mut digests = [0; RANGES];
-        for held in self.held.values() {
+        for held in self.trusted() {
             digests[held.backend.range()] ^= held.backend.digest() as u32;
         }
         digests
@@ -270,14 +302,14 @@
 
     /// The digest of all.
     pub fn digest(&self) -> u64 {
-        self.held.values().fold(0, |all, held| all ^ held.backend.digest())
+        self.trusted().fold(0, |all, held| all ^ held.backend.digest())
     }
 
     /// The records of the ranges that differ.
     pub fn differing(&self, now: Millis, theirs: &[u32; RANGES]) -> Vec<Backend> {
         let own = self.digests();
         let differs = |held: &&Held| own[held.backend.range()] != theirs[held.backend.range()];
-        self.held.values().filter(differs).map(|held| tell(held, now)).collect()
+        self.trusted().filter(differs).map(|held| tell(held, now)).collect()
     }
 }
 
--- a/crates/signalbox/src/confirmations.rs
+++ b/crates/signalbox/src/confirmations.rs
@@ -99,7 +99,7 @@
     }
 
     /// Whether other machines of the core are known and none of them was heard of late.
-    fn is_cut_off(&self) -> bool {
+    pub(crate) fn is_cut_off(&self) -> bool {
         let others: Vec<Ipv4Addr> = self.core().into_iter().filter(|ip| *ip != self.start.card.ip).collect();
         let heard = |ip: &Ipv4Addr| self.heard.get(ip).is_some_and(|at| self.now < at + SPEAKS);
         !others.is_empty() && self.now >= self.born + SPEAKS && !others.iter().any(heard)
--- a/crates/signalbox/src/control.rs
+++ b/crates/signalbox/src/control.rs
@@ -4,6 +4,7 @@
 use crate::call::{Call, Reply};
 use crate::confirmations::Confirmations;
 use crate::gossip::SPEAKS;
+use crate::isolation::Doubt;
 use crate::log_updates::OnItsWay;
 use crate::membership::{Membership, Survive};
 use crate::snapshots::Snapshots;
@@ -115,6 +116,9 @@
     pub(crate) begun: Option<Ipv4Addr>,
     pub(crate) membership: Membership,
     pub(crate) snapshots: Snapshots,
+    /// When this machine last stood still.
+    pub(crate) stood_still: Option<Millis>,
+    pub(crate) doubt: Option<Doubt>,
     /// What went to machines that asked for entries.
     pub(crate) on_their_way: BTreeMap<Ipv4Addr, OnItsWay>,
     pub(crate) actions: Vec<Action>,
@@ -149,6 +153,8 @@
             begun: None,
             membership: Membership::default(),
             snapshots: Snapshots::default(),
+            stood_still: None,
+            doubt: None,
             on_their_way: BTreeMap::new(),
             actions: Vec::new(),
             start,
@@ -163,6 +169,7 @@
     /// Takes one event in.
     pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Action> {
         if now > self.now + STILL {
+            self.stood_still = Some(now);
             self.table.stood_still(now);
         }
         self.now = self.now.max(now);
@@ -257,6 +264,7 @@
         self.actions.extend(dropped);
         self.retell();
         self.tend_snapshots();
+        self.tend_doubt();
         self.review_unconfirmed();
         self.bootstrap_log();
         self.ask_for_vote();
@@ -265,6 +273,7 @@
     }
 
     fn hear(&mut self, from: Ipv4Addr, life: u64, telegram: Telegram) {
+        self.end_isolation(from);
         self.heard.insert(from, self.now);
         match telegram {
             Telegram::Gossip(card, index, digest, leader, cards, back) => {
--- a/crates/signalbox/src/gossip.rs
+++ b/crates/signalbox/src/gossip.rs
@@ -119,7 +119,9 @@
         if back {
             self.gossip_to(from, false);
         }
-        if digest != self.table.digest() && self.may_repair() {
+        if digest == self.table.digest() {
+            self.compared();
+        } else if self.may_repair() {
             self.repaired = Some(self.now);
             let own = self.table.digests();
             self.send(from, Telegram::Ranges(own));
--- /dev/null
+++ b/crates/signalbox/src/isolation.rs
@@ -0,0 +1,63 @@
+//! A machine that was cut off from the core comes back with a table of long ago: backends whose end was acknowledged
+//! meanwhile still stand in it as live. Where the core was lost besides, nobody else may remember their end.
+//!
+//! So what it knows of live backends is doubted when it hears the core again, but for those whose beats came to it just now.
+//! It tells nobody of them, and uses them on, until another machine tells of them too. What nobody has told again soon is
+//! dropped: a backend that lives calls some machine within one interval.
+
+use crate::control::{Action, Control};
+use crate::Millis;
+use config_store::consensus::mutants::{is_chosen, Mutant};
+use std::net::Ipv4Addr;
+
+/// What is doubted is dropped after so long, once the table was compared with another machine's.
+const DROPPED_AFTER: Millis = 800;
+/// Without any comparison it is dropped after so long.
+const DROPPED_AT_LAST: Millis = 2_500;
+
+/// Since when this machine doubts what it knows.
+#[derive(Debug)]
+pub(crate) struct Doubt {
+    since: Millis,
+    is_compared: bool,
+}
+
+impl Control {
+    /// A machine is heard: if it is the first of the core for long, what is known here is doubted.
+    pub(crate) fn end_isolation(&mut self, from: Ipv4Addr) {
+        let is_back = self.is_cut_off() && self.core().contains(&from);
+        if !is_back || is_chosen(Mutant::IsolationTrusted) {
+            return;
+        }
+        // A beat that came within one interval and some more is of a backend that lives.
+        let interval = self.start.beat_ms + self.start.beat_ms / 4;
+        let own_since = match self.stood_still {
+            // Beats that it missed were renewed: none of them shows anything.
+            Some(at) if self.now < at + interval => Millis::MAX,
+            _ => self.now.saturating_sub(interval),
+        };
+        self.table.doubt(own_since);
+        self.doubt = Some(Doubt { since: self.now, is_compared: false });
+        // The table is compared at once.
+        self.repaired = None;
+        self.gossip_to(from, true);
+    }
+
+    /// The table was compared with that of another machine.
+    pub(crate) fn compared(&mut self) {
+        if let Some(doubt) = &mut self.doubt {
+            doubt.is_compared = true;
+        }
+    }
+
+    /// Drops what is doubted still, once that is due.
+    pub(crate) fn tend_doubt(&mut self) {
+        let Some(doubt) = &self.doubt else { return };
+        let due = if doubt.is_compared { DROPPED_AFTER } else { DROPPED_AT_LAST };
+        if self.now >= doubt.since + due {
+            self.doubt = None;
+            let dropped = self.table.drop_doubted().into_iter().map(Action::Dropped);
+            self.actions.extend(dropped);
+        }
+    }
+}
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -13,6 +13,7 @@
 mod confirmations;
 mod control;
 mod gossip;
+mod isolation;
 mod lending;
 mod log_updates;
 mod membership;
--- a/crates/signalbox/tests/mutants.rs
+++ b/crates/signalbox/tests/mutants.rs
@@ -29,6 +29,7 @@
 
 #[test_case(Mutant::SilentStays, "machines_of_three_are_replaced_one_after_another")]
 #[test_case(Mutant::CutOffHandsOut, "a_machine_cut_off_hands_out_no_old_configuration")]
+#[test_case(Mutant::IsolationTrusted, "a_sign_off_that_only_a_killed_core_knew")]
 #[test_case(Mutant::SuccessorFirst, "a_successor_is_lost_within_a_second")]
 fn a_scenario_finds_it(mutant: Mutant, name: &str) {
     let text = scenario(name);
--- a/crates/signalbox/tests/scenarios.rs
+++ b/crates/signalbox/tests/scenarios.rs
@@ -53,6 +53,7 @@
     a_service_is_unknown,
     a_sign_off_at_a_door_cut_off_that_knows_nothing,
     a_sign_off_reaches_a_door_that_never_heard_of_the_backend,
+    a_sign_off_that_only_a_killed_core_knew,
     a_successor_is_lost_at_once,
     a_successor_is_lost_within_a_second,
     a_version_is_not_above,
