--- a/crates/signalbox/src/control.rs
+++ b/crates/signalbox/src/control.rs
@@ -118,6 +118,8 @@
     pub(crate) snapshots: Snapshots,
     /// When this machine last stood still.
     pub(crate) stood_still: Option<Millis>,
+    /// Whether this machine hears none of the core.
+    pub(crate) is_isolated: bool,
     pub(crate) doubt: Option<Doubt>,
     /// What went to machines that asked for entries.
     pub(crate) on_their_way: BTreeMap<Ipv4Addr, OnItsWay>,
@@ -154,6 +156,7 @@
             membership: Membership::default(),
             snapshots: Snapshots::default(),
             stood_still: None,
+            is_isolated: false,
             doubt: None,
             on_their_way: BTreeMap::new(),
             actions: Vec::new(),
@@ -173,6 +176,7 @@
             self.table.stood_still(now);
         }
         self.now = self.now.max(now);
+        self.watch_isolation();
         match event {
             Event::Tick => self.tick(),
             Event::Telegram(Envelope(from, life, telegram)) => self.hear(from, life, telegram),
--- a/crates/signalbox/src/isolation.rs
+++ b/crates/signalbox/src/isolation.rs
@@ -23,26 +23,38 @@
 }
 
 impl Control {
+    /// Looks whether this machine hears none of the core: from then on it tells nobody of live backends but of its own, so
+    /// that two who were cut off do not take each other's word for news.
+    pub(crate) fn watch_isolation(&mut self) {
+        if !self.is_isolated && self.is_cut_off() && !is_chosen(Mutant::IsolationTrusted) {
+            self.is_isolated = true;
+            self.table.doubt(self.own_since());
+        }
+    }
+
     /// A machine is heard: if it is the first of the core for long, what is known here is doubted.
     pub(crate) fn end_isolation(&mut self, from: Ipv4Addr) {
-        let is_back = self.is_cut_off() && self.core().contains(&from);
-        if !is_back || is_chosen(Mutant::IsolationTrusted) {
+        if !self.is_isolated || !self.core().contains(&from) {
             return;
         }
-        // A beat that came within one interval and some more is of a backend that lives.
-        let interval = self.start.beat_ms + self.start.beat_ms / 4;
-        let own_since = match self.stood_still {
-            // Beats that it missed were renewed: none of them shows anything.
-            Some(at) if self.now < at + interval => Millis::MAX,
-            _ => self.now.saturating_sub(interval),
-        };
-        self.table.doubt(own_since);
+        self.is_isolated = false;
+        self.table.doubt(self.own_since());
         self.doubt = Some(Doubt { since: self.now, is_compared: false });
         // The table is compared at once.
         self.repaired = None;
         self.gossip_to(from, true);
     }
 
+    /// A beat that came here since shows that its backend lives: it is no older than an interval and some more.
+    fn own_since(&self) -> Millis {
+        let interval = self.start.beat_ms + self.start.beat_ms / 4;
+        match self.stood_still {
+            // Beats that were missed then were renewed: none of them shows anything.
+            Some(at) if self.now < at + interval => Millis::MAX,
+            _ => self.now.saturating_sub(interval),
+        }
+    }
+
     /// The table was compared with that of another machine.
     pub(crate) fn compared(&mut self) {
         if let Some(doubt) = &mut self.doubt {
