--- a/crates/signalbox/src/snapshots.rs
+++ b/crates/signalbox/src/snapshots.rs
@@ -244,6 +244,8 @@
             Ok(state) => {
                 let done = self.replica.install_snapshot(self.now, state);
                 self.carry_out(done);
+                // What was chosen since is wanted at once.
+                self.fetched.remove(&download.from);
                 self.fetch(download.from);
             }
             Err(why) => {
--- a/crates/signalbox/tests/world/mod.rs
+++ b/crates/signalbox/tests/world/mod.rs
@@ -88,6 +88,8 @@
     pub counted: bool,
     /// Gone for good.
     pub retired: bool,
+    /// When its process ended last.
+    pub ended: Millis,
     zone: String,
     pub store: Store,
     /// The try behind each open call.
@@ -175,6 +177,7 @@
                 frozen_until: 0,
                 counted: number < setup.disks,
                 retired: false,
+                ended: 0,
                 zone: setup.zones[number % setup.zones.len()].clone(),
                 store: Store::empty(),
                 calls: BTreeMap::new(),
@@ -347,6 +350,7 @@
             return;
         }
         machine.frozen_until = 0;
+        machine.ended = self.now;
         let calls = std::mem::take(&mut machine.calls);
         let pending = std::mem::take(&mut machine.store.pending);
         // What was on its way to the disk is there up to some record.
