--- a/crates/signalbox/src/isolation.rs
+++ b/crates/signalbox/src/isolation.rs
@@ -11,7 +11,7 @@
 use std::net::Ipv4Addr;
 
 /// What is doubted is dropped after so long, once the table was compared with another machine's.
-const DROPPED_AFTER: Millis = 800;
+const DROPPED_AFTER: Millis = 500;
 /// Without any comparison it is dropped after so long.
 const DROPPED_AT_LAST: Millis = 2_500;
 
