Never use a connection again on which bytes of an earlier request are still due

Cause: a backend that answers a long request before it has read all of it and keeps the connection was sent the next request on it while bytes of the first still waited: they go out in order, but the next request stands behind them for as long as the backend reads on. A body that still came from its client did not keep the connection from the pool either. Change: a connection watches whether its peer took all that was written; with bytes owed, or a body not whole, it is closed.

--- a/crates/turnstile/src/backends.rs
+++ b/crates/turnstile/src/backends.rs
@@ -312,7 +312,8 @@
             Err(_) if mutant!(RetryAfterReset) => return Outcome::NoConnection.into(),
             Err(_) => return Outcome::Reset.into(),
         }
-        if judged.reusable && !self.keeps_none.get() && pooled.connection.is_usable().await {
+        let is_free = judged.reusable && !self.keeps_none.get() && message.is_whole();
+        if is_free && pooled.connection.is_usable().await {
             pooled.since = self.clock.now();
             pooled.keeps = judged.keeps.or(pooled.keeps);
             self.park(id, address, pooled);
--- a/crates/turnstile/src/connection.rs
+++ b/crates/turnstile/src/connection.rs
@@ -8,11 +8,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::{pin, Pin};
-use std::task::Poll;
-use tokio::io::{AsyncRead, AsyncWrite};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Most bytes of an answer's head.
 const HEAD_LIMIT: usize = 16 * 1024;
@@ -27,13 +29,70 @@
 }
 
 /// What hyper has to be polled for.
-type Driver<S> = http1::Connection<TokioIo<S>, Outgoing>;
+type Driver<S> = http1::Connection<TokioIo<Watched<S>>, Outgoing>;
 
 /// A connection over a stream of the network's.
 pub struct Connection<S: AsyncRead + AsyncWrite + Unpin + 'static> {
     sender: SendRequest<Outgoing>,
     /// `None` once it is over.
     driver: Option<Driver<S>>,
+    /// Whether bytes wait that the peer had no room for.
+    owes: Rc<Cell<bool>>,
+}
+
+/// A stream that notes whether its peer took all that was written.
+struct Watched<S> {
+    stream: S,
+    owes: Rc<Cell<bool>>,
+}
+
+impl<S: AsyncWrite + Unpin> Watched<S> {
+    fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.owes.set(written.is_pending());
+        written
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        to: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, to)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.note(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin + 'static> Connection<S> {
@@ -45,8 +104,10 @@
         // Guards the memory against heads that do not end.
         let mut builder = http1::Builder::new();
         builder.max_buf_size(HEAD_LIMIT);
-        let (sender, driver) = builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-        Ok(Connection { sender, driver: Some(driver) })
+        let owes = Rc::new(Cell::new(false));
+        let watched = Watched { stream, owes: owes.clone() };
+        let (sender, driver) = builder.handshake(TokioIo::new(watched)).await.map_err(io::Error::other)?;
+        Ok(Connection { sender, driver: Some(driver), owes })
     }
 
     /// Sends one request and waits for its whole answer, of `most` bytes at the most.
@@ -91,7 +152,7 @@
         &mut self,
         request: Request<impl Into<Outgoing>>,
     ) -> Result<Response<Incoming>, Failure> {
-        let Connection { sender, driver } = self;
+        let Connection { sender, driver, .. } = self;
         let request = request.map(Into::into);
         // hyper hands a request back only if it never began to write it.
         let answer = sender.try_send_request(request);
@@ -132,7 +193,8 @@
     }
 
     /// Whether the connection stands and can take a request. Guards against sending into a connection
-    /// that the peer has closed while it was idle: polling it sees the end that has come in meanwhile.
+    /// that the peer has closed while it was idle: polling it sees the end that has come in meanwhile. Nor is one of use on
+    /// which the rest of an earlier request is still due: a peer may answer before it has read all of it.
     pub async fn is_usable(&mut self) -> bool {
         poll_fn(|context| {
             if let Some(driver) = &mut self.driver {
@@ -143,7 +205,7 @@
             Poll::Ready(())
         })
         .await;
-        self.driver.is_some() && self.sender.is_ready()
+        self.driver.is_some() && self.sender.is_ready() && !self.owes.get()
     }
 }
 
