--- a/crates/config-store/tests/common/alone.rs
+++ b/crates/config-store/tests/common/alone.rs
@@ -12,7 +12,7 @@
 /// A voter that is alone: it leads, and what it writes is synced at once.
 pub struct Alone {
     pub replica: Replica,
-    now: u64,
+    pub now: u64,
     next: u64,
 }
 
