Tell all of the own backends at the end of an isolation

Cause: where the whole core is gone for over 1.2 s all doors doubt at once, and each told of its own backends only as tables were compared, two at a time: what lives could be dropped for up to a beat.

--- a/crates/signalbox/src/backends.rs
+++ b/crates/signalbox/src/backends.rs
@@ -246,6 +246,12 @@
         }
     }
 
+    /// Live backends whose last beat came here since a time.
+    pub fn own(&self, now: Millis, since: Millis) -> Vec<Backend> {
+        let is_own = |held: &&Held| held.backend.stage == Stage::Ready && held.is_own(since);
+        self.held.values().filter(is_own).map(|held| tell(held, now)).collect()
+    }
+
     /// Drops what is doubted still. Returns the names.
     pub fn drop_doubted(&mut self) -> Vec<String> {
         let doubted = self.held.iter().filter(|(_, held)| held.doubted);
--- a/crates/signalbox/src/isolation.rs
+++ b/crates/signalbox/src/isolation.rs
@@ -5,13 +5,15 @@
 //! It tells nobody of them, and uses them on, until another machine tells of them too. What nobody has told again soon is
 //! dropped: a backend that lives calls some machine within one interval.
 
-use crate::control::{Action, Control};
+use crate::control::{Action, Control, ALL};
 use crate::Millis;
 use config_store::consensus::mutants::{is_chosen, Mutant};
 use std::net::Ipv4Addr;
 
-/// What is doubted is dropped after so long, once the table was compared with another machine's.
+/// What is doubted is dropped after so long, once the table was compared with another machine's; where there are many
+/// machines, of whom each tells few, later.
 const DROPPED_AFTER: Millis = 500;
+const DROPPED_AFTER_AMONG_MANY: Millis = 2_000;
 /// Without any comparison it is dropped after so long.
 const DROPPED_AT_LAST: Millis = 2_500;
 
@@ -40,9 +42,13 @@
         self.is_isolated = false;
         self.table.doubt(self.own_since());
         self.doubt = Some(Doubt { since: self.now, is_compared: false });
-        // The table is compared at once.
+        // The table is compared at once. Others may have been cut off as well, and doubt what lives: each tells of its own.
         self.repaired = None;
         self.gossip_to(from, true);
+        let own = self.table.own(self.now, self.own_since());
+        if !own.is_empty() {
+            self.spread(own, None);
+        }
     }
 
     /// A beat that came here since shows that its backend lives: it is no older than an interval and some more.
@@ -65,7 +71,11 @@
     /// Drops what is doubted still, once that is due.
     pub(crate) fn tend_doubt(&mut self) {
         let Some(doubt) = &self.doubt else { return };
-        let due = if doubt.is_compared { DROPPED_AFTER } else { DROPPED_AT_LAST };
+        let due = match (doubt.is_compared, self.views.len() <= ALL) {
+            (true, true) => DROPPED_AFTER,
+            (true, false) => DROPPED_AFTER_AMONG_MANY,
+            (false, _) => DROPPED_AT_LAST,
+        };
         if self.now >= doubt.since + due {
             self.doubt = None;
             let dropped = self.table.drop_doubted().into_iter().map(Action::Dropped);
--- a/crates/signalbox/tests/scenarios.rs
+++ b/crates/signalbox/tests/scenarios.rs
@@ -93,6 +93,7 @@
     the_only_other_voter_with_the_word_is_wiped,
     the_same_body_is_sent_to_two_doors,
     the_same_order_in_every_later_life,
+    the_whole_core_is_gone_for_two_seconds,
     two_operators_write_at_once,
     voters_change_while_the_leader_changes,
 }
