Say in the field's words what the log and its replicas are

Need: comments of the configuration store and the control plane spoke of a chain. Change: comments only; a test's waker is one that the declared toolchain has.

--- a/crates/config-store/src/consensus/mutants.rs
+++ b/crates/config-store/src/consensus/mutants.rs
@@ -11,7 +11,7 @@
     OpenForgotten,
     /// One voter fewer than a majority is enough.
     NoMajority,
-    /// A voter accepts under an term below its promise.
+    /// A voter accepts under a term below its promise.
     PromiseBroken,
     /// A voter whose disk was lost goes on as the one that it was.
     DiskIgnored,
--- a/crates/config-store/src/consensus/replica.rs
+++ b/crates/config-store/src/consensus/replica.rs
@@ -1,4 +1,4 @@
-//! One machine's copy of the chain: what it promised and accepted, and the state that all entries led to. A machine
+//! One machine's replica of the log: what it promised and accepted, and the state that all entries led to. A machine
 //! without a vote has one too, and only follows.
 
 use super::campaign::Role;
@@ -122,7 +122,7 @@
         self.done()
     }
 
-    /// Begins the chain, with this voter alone. Only one machine may ever be told to.
+    /// Begins the log, with this voter alone. Only one machine may ever be told to.
     pub fn bootstrap(&mut self, now: Millis, slots: u32) -> Vec<Action> {
         self.now = now;
         if self.state.index == 0 && self.me.disk != 0 {
@@ -134,7 +134,7 @@
         self.done()
     }
 
-    /// What the chain has led to, as far as it is known here.
+    /// The state that the log has led to, as far as it is known here.
     pub fn state(&self) -> &Arc<State> {
         &self.state
     }
@@ -370,7 +370,7 @@
         self.write(Record::Accepted { term, index, entry }, vec![(from.ip, said)]);
     }
 
-    /// The leader lives, and tells how far the chain is chosen.
+    /// The leader lives, and tells how far the log is chosen.
     fn heartbeat(&mut self, from: VoterId, term: Term, index: LogIndex, heartbeat: u64) {
         if term < self.promised && !is_chosen(Mutant::PromiseBroken) {
             return self.send(from.ip, Message::Refuse { term: self.promised });
--- a/crates/config-store/src/lib.rs
+++ b/crates/config-store/src/lib.rs
@@ -1,5 +1,5 @@
-//! The operator's word: configurations and their check ([`configuration`]), the chain of versions that a majority of
-//! voters agrees on ([`consensus`]), and a voter's store on disk ([`store`]).
+//! Configurations and their check ([`configuration`]), consensus on their versions by a majority of voters
+//! ([`consensus`]), and a voter's store on disk ([`store`]).
 #![forbid(unsafe_code)]
 
 pub mod configuration;
--- a/crates/signalbox/src/control.rs
+++ b/crates/signalbox/src/control.rs
@@ -71,7 +71,7 @@
     Write(u64, Record),
     /// Answer a call.
     Reply(u64, Reply),
-    /// The state of the chain has moved on.
+    /// The state of the log has moved on.
     Configuration(Arc<State>),
     /// A backend is new, or changed.
     Backend(Backend),
@@ -105,12 +105,12 @@
     pub(crate) repaired: Option<Millis>,
     /// When each machine was heard last, by its own words.
     pub(crate) heard: BTreeMap<Ipv4Addr, Millis>,
-    /// The index in the chain that each machine told last.
+    /// The log index that each machine told last.
     pub(crate) indexes: BTreeMap<Ipv4Addr, u64>,
     /// Entries to tell a second time: when, to whom.
     pub(crate) retell: Option<(Millis, Vec<Ipv4Addr>, Vec<consensus::Chosen>)>,
     pub(crate) confirmations: Confirmations,
-    /// Numbers of what this machine asks of the chain for itself.
+    /// Numbers of what this machine asks of consensus for itself.
     pub(crate) own: BTreeSet<u64>,
     pub(crate) last_own: u64,
     pub(crate) begun: Option<Ipv4Addr>,
@@ -205,7 +205,7 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// The state of the chain, as far as it is known here.
+    /// The state that the log led to, as far as it is known here.
     pub fn state(&self) -> &Arc<State> {
         self.replica.state()
     }
--- a/crates/signalbox/src/gossip.rs
+++ b/crates/signalbox/src/gossip.rs
@@ -129,7 +129,7 @@
     }
 
     /// Whether tables that differ are to be mended now. Guards the links while many backends come at once: what differs is
-    /// on its way then, and a part of the table for each hail would weigh more than all of it.
+    /// on its way then, and a part of the table for each exchange would weigh more than all of it.
     pub(crate) fn may_repair(&self) -> bool {
         let since = |at: Option<Millis>| at.map_or(Millis::MAX, |at| self.now.saturating_sub(at));
         let (repaired, changed) = (since(self.repaired), since(self.table.changed()));
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -2,7 +2,7 @@
 //! ([`call`]), what processes say to one another ([`telegram`]), and the one owner of all of it ([`Control`]).
 //!
 //! [`Control`] does no I/O: a host hands it events with the time, and carries out the actions that come back. It holds
-//! this machine's copy of the chain of the operator's words, the table of backends (soft state under leases, copied by
+//! this machine's replica of the log of configurations, the table of backends (soft state under leases, copied by
 //! gossip and mended by digests), the doors that it knows, and what is lent to it of limits. It decides nothing about a
 //! request; the data plane reads copies.
 #![forbid(unsafe_code)]
--- a/crates/signalbox/src/operator.rs
+++ b/crates/signalbox/src/operator.rs
@@ -59,7 +59,7 @@
                     (shunting::tenant_id(&tenant.name), limit)
                 })
                 .collect();
-            // Before any answer to the operator: this door goes by the word that it acknowledges.
+            // Before any answer to the operator: this door goes by the configuration that it acknowledges.
             self.actions.insert(0, Action::Configuration(state));
             self.spread_entries(moved.into_iter().flatten().collect());
         }
--- a/crates/signalbox/src/telegram.rs
+++ b/crates/signalbox/src/telegram.rs
@@ -15,7 +15,7 @@
 /// One thing said.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Telegram {
-    /// A door tells of itself: its index in the chain, the digest of its table, who leads, some cards, and
+    /// A door tells of itself: its log index, the digest of its table, who leads, some cards, and
     /// whether it wants the same back.
     #[serde(rename = "h")]
     Gossip(Card, LogIndex, u64, Option<LeaderTold>, Vec<Aged>, bool),
@@ -25,7 +25,7 @@
     /// The entries behind this index, please.
     #[serde(rename = "f")]
     Fetch(LogIndex),
-    /// Entries that are chosen, from a index on.
+    /// Entries that are chosen, from an index on.
     #[serde(rename = "n")]
     Entries(Vec<Chosen>),
     /// A part of a snapshot, as the entries are no longer kept, or are too long.
@@ -43,7 +43,7 @@
     /// Records under this number were taken in, by one that knows the log up to this index.
     #[serde(rename = "a")]
     Confirmed(u64, LogIndex),
-    /// Begin the chain: only one machine is ever told.
+    /// Begin the log: only one machine is ever told.
     #[serde(rename = "g")]
     Bootstrap(u32),
     /// A machine of the core wants a vote; the number of its disk, and how far it knows the log.
--- a/crates/turnstile/tests/connection.rs
+++ b/crates/turnstile/tests/connection.rs
@@ -8,7 +8,7 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use turnstile::bodies::Outgoing;
 use turnstile::connection::{Connection, Failure};
@@ -79,7 +79,8 @@
 /// Runs to its end what never has to wait for anybody else.
 fn run<T>(work: impl Future<Output = T>) -> T {
     let mut work = Box::pin(work);
-    let mut context = Context::from_waker(Waker::noop());
+    let waker = futures_util::task::noop_waker();
+    let mut context = Context::from_waker(&waker);
     let ended = (0..1_000).find_map(|_| match work.as_mut().poll(&mut context) {
         Poll::Ready(ended) => Some(ended),
         Poll::Pending => None,
