Note the leader's own zone, which survive.zones and .regions are judged by

Cause: found on reading the change again: a machine notes the zones of those it hears and never its own, so a leader counted itself as a zone apart and took a set for sounder than it is. Sites that count machines are not touched by it.

--- a/crates/signalbox/src/control.rs
+++ b/crates/signalbox/src/control.rs
@@ -153,7 +153,7 @@
             own: BTreeSet::new(),
             last_own: 1 << 62,
             begun: None,
-            membership: Membership::default(),
+            membership: Membership::of(&start.card),
             snapshots: Snapshots::default(),
             stood_still: None,
             is_isolated: false,
--- a/crates/signalbox/src/membership.rs
+++ b/crates/signalbox/src/membership.rs
@@ -119,6 +119,13 @@
 }
 
 impl Membership {
+    /// What a machine knows at its start: its own zone.
+    pub(crate) fn of(card: &Card) -> Membership {
+        let mut membership = Membership::default();
+        membership.note_zone(card);
+        membership
+    }
+
     /// A machine of the core tells in which zone it stands.
     pub(crate) fn note_zone(&mut self, card: &Card) {
         if card.counted {
