Count what becomes of requests and of attempts behind clients that left; serve it as metrics

Cause: the doors' output could not tell the incident's hypotheses apart; nothing counted clients that leave, attempts called off, or why a request was refused.

--- a/crates/junction/src/command.rs
+++ b/crates/junction/src/command.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Options)]
 enum Verb {
     #[options(help = "run a door, as the settings file says that BRASSPORT_CONFIG names")]
-    Run(Nothing),
+    Run(RunOptions),
     #[options(help = "check a settings file, or the one that BRASSPORT_CONFIG names")]
     Check(File),
     #[options(help = "check a configuration of the operator's before it is sent")]
@@ -41,7 +41,14 @@
 }
 
 #[derive(Debug, Options)]
-struct Nothing {}
+struct RunOptions {
+    #[options(
+        no_short,
+        meta = "PORT",
+        help = "serve counters at http://ADDRESS:PORT/metrics, at the door's own address (none)"
+    )]
+    metrics_port: Option<u16>,
+}
 
 #[derive(Debug, Options)]
 struct File {
@@ -106,10 +113,10 @@
 
 fn carry_out(verb: Verb) -> miette::Result<()> {
     match verb {
-        Verb::Run(_) => {
+        Verb::Run(RunOptions { metrics_port }) => {
             logs()?;
             let file = run::file()?;
-            run::run(Settings::read(&file)?, file)
+            run::run(Settings::read(&file)?, file, metrics_port)
         }
         Verb::Check(File { file }) => {
             let file = file.map_or_else(run::file, Ok)?;
--- a/crates/junction/src/listeners.rs
+++ b/crates/junction/src/listeners.rs
@@ -20,6 +20,8 @@
 const MOST: usize = 24 << 20;
 /// A call that has not come by then, or is not answered, is given up.
 const PATIENCE: Duration = Duration::from_secs(4);
+/// Where the counters are read.
+const METRICS_PATH: &str = "/metrics";
 /// Of an idle connection.
 const IDLE: Duration = Duration::from_secs(20);
 
@@ -133,6 +135,25 @@
     response
 }
 
+#[derive(Clone)]
+struct Metrics<F>(F);
+
+/// Tells operators for good what this door counts.
+pub async fn metrics(listener: TcpListener, text: impl Fn() -> String + Clone + 'static) {
+    serve(listener, Metrics(text)).await;
+}
+
+impl<F: Fn() -> String + Clone + 'static> Answers for Metrics<F> {
+    async fn answer(self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.uri().path() != METRICS_PATH {
+            return text(StatusCode::NOT_FOUND, "only /metrics is here");
+        }
+        let mut response = Response::new(Full::new(Bytes::from((self.0)())));
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4"));
+        response
+    }
+}
+
 #[derive(Clone)]
 struct Ready<F>(F);
 
--- a/crates/junction/src/run.rs
+++ b/crates/junction/src/run.rs
@@ -9,7 +9,7 @@
 use signalbox::telegram::Envelope;
 use signalbox::{Action, Control, Event, Start};
 use std::collections::HashMap;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -37,16 +37,16 @@
 /// Descriptors that are kept for the doors' own talk, callers and the disk.
 const KEPT: usize = 300;
 
-/// Runs a door until it is told to end.
+/// Runs a door until it is told to end. With `metrics_port` its counters are served there.
 ///
 /// # Errors
 /// It can't begin; why.
-pub fn run(settings: Settings, file: PathBuf) -> miette::Result<()> {
+pub fn run(settings: Settings, file: PathBuf, metrics_port: Option<u16>) -> miette::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| miette::miette!("cannot start: {error}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, door(settings, file))
+    tokio::task::LocalSet::new().block_on(&runtime, door(settings, file, metrics_port))
 }
 
 /// A number that no other life has had, whatever the wall clock says.
@@ -135,7 +135,7 @@
     }
 }
 
-async fn door(settings: Settings, file: PathBuf) -> miette::Result<()> {
+async fn door(settings: Settings, file: PathBuf, metrics_port: Option<u16>) -> miette::Result<()> {
     let failed = |what: &str| {
         let what = what.to_owned();
         move |error: std::io::Error| miette::miette!("{what}: {error}")
@@ -201,6 +201,12 @@
         let is_ready = move || shutdown.phase() == Phase::Serving && platform.is_ready();
         spawn_local(listeners::ready(listener, is_ready));
     }
+    if let Some(port) = metrics_port {
+        let listener = listeners::bind(SocketAddrV4::new(settings.ip, port));
+        let listener = listener.map_err(failed("the metrics' port"))?;
+        let platform = platform.clone();
+        spawn_local(listeners::metrics(listener, move || platform.metrics()));
+    }
     let mut serving = match settings.front {
         Some(at) => {
             let listener = listeners::bind(at).map_err(failed("the clients' port"))?;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,8 @@
 #![forbid(unsafe_code)]
 
 pub mod front;
+mod hooks;
+pub mod metrics;
 mod service;
 pub mod shares;
 pub mod terms;
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -1,6 +1,8 @@
 //! The services of this door: for each the decision module's door and its backends, as the control plane tells them.
 
-use crate::shares::{Looker, Readings, Shares};
+use crate::hooks::ServiceHooks;
+use crate::metrics::RequestCounters;
+use crate::shares::{Readings, Shares};
 use crate::terms::{Place, Terms, COLD_FOR};
 use crate::wire::Wire;
 use config_store::configuration::{Index, Limits};
@@ -61,6 +63,7 @@
     pub terms: RefCell<Terms>,
     settings: RefCell<Settings>,
     wire: Rc<Wire>,
+    counters: Rc<RequestCounters>,
     /// What the control plane told of each, the number that stands for it, and the state the module was told.
     listed: RefCell<BTreeMap<String, Listed>>,
 }
@@ -127,6 +130,17 @@
         self.services.borrow().values().map(|service| service.door.in_flight()).sum()
     }
 
+    /// Counters and figures of all services, as lines of the Prometheus text format.
+    pub fn metrics(&self) -> String {
+        let mut text = String::new();
+        for (name, service) in self.services.borrow().iter() {
+            let now = service.door.clock().now();
+            let figures = service.door.look(|gateway| gateway.figures(now));
+            service.counters.write(name, &figures, &mut text);
+        }
+        text
+    }
+
     /// Which of the doors this is.
     pub fn set_ordinal(&self, ordinal: u32) {
         self.ordinal.set(ordinal);
@@ -189,11 +203,12 @@
             Rc::new(Uncounted),
             wire.clone(),
         ));
-        let looker = Rc::new(Looker { shares: self.shares.clone(), requests: RefCell::default() });
+        let counters = Rc::new(RequestCounters::default());
+        let hooks = Rc::new(ServiceHooks::new(self.shares.clone(), counters.clone()));
         let rates = settings.plans.iter().map(|plan| plan.rate).collect();
         let host = Host {
             meter: Some(Box::new(Readings { shares: self.shares.clone(), rates })),
-            hooks: Some(looker),
+            hooks: Some(hooks),
             released: Box::new(|_| {}),
             clock_before: None,
         };
@@ -212,6 +227,7 @@
             terms: RefCell::new(terms),
             settings: RefCell::new(settings),
             wire,
+            counters,
             listed: RefCell::default(),
         });
         self.services.borrow_mut().insert(name.to_owned(), service);
--- a/crates/platform/src/shares.rs
+++ b/crates/platform/src/shares.rs
@@ -2,14 +2,13 @@
 //! request pass.
 
 use shunting::{Borrower, Limit, Loan, TenantId, Use, PERIOD};
-use springusher::{CustomerId, Millis, Request, RequestId, Settings};
+use springusher::{CustomerId, Millis, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Instant;
 use turnstile::clock::Clock;
 use turnstile::door::Meter;
-use turnstile::hooks::Hooks;
 
 /// Stands for requests without a tenant.
 pub const NOBODY: TenantId = 0;
@@ -85,13 +84,18 @@
         self.limits.borrow().get(&tenant).copied().unwrap_or(Limit { rate: 0.0, burst: 0.0 })
     }
 
-    fn take_anyway(&self, tenant: TenantId) {
+    /// Counts an attempt that goes out whatever is left.
+    pub(crate) fn take_anyway(&self, tenant: TenantId) {
         if tenant != NOBODY {
             self.borrower.borrow_mut().take_anyway(self.now(), tenant);
         }
     }
 
-    fn take(&self, tenant: TenantId) -> Result<(), shunting::Millis> {
+    /// Takes one attempt of a tenant's share.
+    ///
+    /// # Errors
+    /// Nothing is left of it; how long to wait.
+    pub(crate) fn take(&self, tenant: TenantId) -> Result<(), shunting::Millis> {
         if tenant == NOBODY {
             return Ok(());
         }
@@ -101,7 +105,7 @@
 }
 
 /// The tenant that a customer of the module stands for.
-fn tenant(customer: CustomerId) -> TenantId {
+pub(crate) fn tenant(customer: CustomerId) -> TenantId {
     u32::try_from(customer).unwrap_or(NOBODY)
 }
 
@@ -126,31 +130,3 @@
         self.rates = settings.plans.iter().map(|plan| plan.rate).collect();
     }
 }
-
-/// Looks on at one service's door.
-pub struct Looker<C> {
-    /// The tenants' shares.
-    pub shares: Rc<Shares<C>>,
-    /// Whose the requests in flight are.
-    pub requests: RefCell<HashMap<RequestId, TenantId>>,
-}
-
-impl<C: Clock> Hooks for Looker<C> {
-    fn admitted(&self, _: &str, request: &Request) {
-        self.requests.borrow_mut().insert(request.id, tenant(request.customer));
-    }
-
-    fn may_send(&self, request: RequestId, attempt: u8) -> Result<(), Millis> {
-        let tenant = self.requests.borrow().get(&request).copied().unwrap_or(NOBODY);
-        if attempt > 0 {
-            // The module has given the one before up for it: it counts, and is made up for by those that come next.
-            self.shares.take_anyway(tenant);
-            return Ok(());
-        }
-        self.shares.take(tenant).map_err(|wait| wait as Millis)
-    }
-
-    fn departed(&self, request: RequestId) {
-        self.requests.borrow_mut().remove(&request);
-    }
-}
--- a/crates/springusher-counts/src/tally.rs
+++ b/crates/springusher-counts/src/tally.rs
@@ -24,6 +24,9 @@
     pub no_server: u32,
     reported: Millis,
     pressed: bool,
+    /// Refusals up to the last report.
+    past_no_room: u64,
+    past_no_server: u64,
 }
 
 impl Tally {
@@ -32,6 +35,16 @@
         Tally { reported: now, ..Tally::default() }
     }
 
+    /// Refusals for want of room since the start.
+    pub fn total_no_room(&self) -> u64 {
+        self.past_no_room + u64::from(self.no_room)
+    }
+
+    /// Refusals for want of a server since the start.
+    pub fn total_no_server(&self) -> u64 {
+        self.past_no_server + u64::from(self.no_server)
+    }
+
     /// Once a second: what staff should read, with the room that there is by now.
     pub fn report(&mut self, now: Millis, room: f64) -> Vec<String> {
         let mut lines = Vec::new();
@@ -46,7 +59,8 @@
         if self.no_server > 0 {
             lines.push(format!("no server to send to: {} refused", self.no_server));
         }
-        *self = Tally { reported: now, pressed, ..Tally::default() };
+        let (past_no_room, past_no_server) = (self.total_no_room(), self.total_no_server());
+        *self = Tally { reported: now, pressed, past_no_room, past_no_server, ..Tally::default() };
         lines
     }
 }
@@ -65,6 +79,7 @@
             lines,
             ["pressed: room for 0.50 of what the quotas admit", "no server to send to: 2 refused"]
         );
+        assert_eq!((tally.total_no_room(), tally.total_no_server()), (3, 2), "a report forgets no total");
         tally.no_room = 1;
         assert!(tally.report(2000.0, 0.4).is_empty(), "still pressed is no news");
         assert_eq!(tally.report(3000.0, 0.6), ["pressed no more: room for 0.60 of what the quotas admit"]);
--- a/crates/springusher/src/lib.rs
+++ b/crates/springusher/src/lib.rs
@@ -54,3 +54,4 @@
 
 pub use control::Gateway;
 pub use interface::*;
+pub use views::Figures;
