--- a/crates/junction/src/run.rs
+++ b/crates/junction/src/run.rs
@@ -88,7 +88,7 @@
                     }
                 }
                 Action::Configuration(state) => {
-                    self.platform.set_ordinal(self.ordinal());
+                    self.platform.set_ring_position(self.control.ring_position());
                     self.platform.word(&state);
                 }
                 Action::Backend(backend) => self.platform.backend(&backend),
@@ -106,11 +106,6 @@
         }
     }
 
-    /// Which of the doors that it knows this one is.
-    fn ordinal(&self) -> u32 {
-        self.control.views().cards().filter(|card| card.ip < self.me.0).count() as u32
-    }
-
     fn call(&mut self, (call, to): Called) {
         self.last_call += 1;
         self.calls.insert(self.last_call, to);
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -88,7 +88,8 @@
     state: RefCell<Option<Arc<State>>>,
     /// Backends of services that no configuration names yet.
     early: RefCell<BTreeMap<String, Backend>>,
-    ordinal: Cell<u32>,
+    /// Where this door stands among all, from 0 up to 1.
+    ring_position: Cell<f64>,
     leaving: Cell<bool>,
     pub(crate) has_keys: Cell<bool>,
     pub(crate) descriptors: Arc<Semaphore>,
@@ -107,7 +108,7 @@
             limits: RefCell::default(),
             state: RefCell::default(),
             early: RefCell::default(),
-            ordinal: Cell::new(0),
+            ring_position: Cell::new(0.0),
             leaving: Cell::new(false),
             has_keys: Cell::new(false),
             descriptors,
@@ -141,9 +142,9 @@
         text
     }
 
-    /// Which of the doors this is.
-    pub fn set_ordinal(&self, ordinal: u32) {
-        self.ordinal.set(ordinal);
+    /// Where this door stands among all, from 0 up to 1; it holds from the next configuration on.
+    pub fn set_ring_position(&self, position: f64) {
+        self.ring_position.set(position);
     }
 
     /// The state of the chain from now on. Older ones are passed over: this door never goes back.
@@ -170,7 +171,7 @@
         self.shares.settle(limits.collect(), state.slots);
         let place = Place {
             doors: state.slots,
-            ordinal: self.ordinal.get(),
+            ordinal: (self.ring_position.get() * f64::from(state.slots)) as u32,
             zone: self.zone_index(&self.options.zone),
             drain_ms: self.options.drain_ms,
             retry_share: RETRY_PART * self.options.retry.0,
