Call off repeatable attempts whose clients have left, and long answers at once

Cause: the decision module took a client's leaving as the end of the request alone: its attempt ran to its end at the backend. A long answer's attempt saw its client gone only when the backend's next bytes came. A door told to end could call nothing off at all. Change: ClientGone calls off attempts without an effect; unsafe and keyed ones run on. What a cut-short attempt took is a lower bound of its server's pace. A leaving door keeps calling off and only stops replacing silent attempts. A called-off attempt counts as out until its end. The pump of a long answer watches its client.

--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -9,7 +9,7 @@
 use config_store::consensus::State;
 use shunting::{Limit, Loan, Use};
 use signalbox::backends::{Backend, Stage};
-use springusher::{Event, Lifecycle, ListKind, ServerEntry, ServerId, Settings};
+use springusher::{Event, Lifecycle, ListKind, ServerEntry, ServerId, Settings, Tuning};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -95,6 +95,12 @@
     pub(crate) descriptors: Arc<Semaphore>,
 }
 
+/// What a backend works at for a client that waits is seen to its end, and not given up for another.
+fn settings_of_a_leaving_door(settings: Settings) -> Settings {
+    let tuning = Tuning { replaces_silent: false, ..settings.tuning };
+    Settings { tuning, ..settings }
+}
+
 impl<C: Clock, N: Network> Platform<C, N> {
     /// A data plane that knows nothing yet.
     pub fn new(clock: C, network: N, options: Options) -> Rc<Platform<C, N>> {
@@ -182,9 +188,11 @@
             match known {
                 Some(service) => {
                     let settings = service.terms.borrow_mut().settle(name, configuration, place);
-                    let may_cancel = settings.may_cancel && !self.leaving.get();
-                    let settings = Settings { may_cancel, ..settings };
-                    service.settle(settings);
+                    service.settle(if self.leaving.get() {
+                        settings_of_a_leaving_door(settings)
+                    } else {
+                        settings
+                    });
                 }
                 None => self.open_service(name, state, place),
             }
@@ -308,8 +316,8 @@
         self.leaving.set(true);
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
-            let settings = Settings { may_cancel: false, ..service.settings.borrow().clone() };
-            service.settle(settings);
+            let settings = service.settings.borrow().clone();
+            service.settle(settings_of_a_leaving_door(settings));
         }
     }
 
--- a/crates/platform/src/terms.rs
+++ b/crates/platform/src/terms.rs
@@ -137,6 +137,7 @@
                 start: START,
                 retry_share: place.retry_share,
                 retries: place.retries,
+                replaces_silent: true,
             },
         }
     }
--- a/crates/springusher-counts/src/lib.rs
+++ b/crates/springusher-counts/src/lib.rs
@@ -105,6 +105,13 @@
     pub fn blend(&mut self, sample: f64, weight: f64) {
         blend(&mut self.value, sample, weight);
     }
+
+    /// Takes in a sample of which only a lower bound is known, as it was cut short: one below the average tells nothing.
+    pub fn blend_bound(&mut self, bound: f64, weight: f64) {
+        if bound > self.value {
+            self.blend(bound, weight);
+        }
+    }
 }
 
 /// A store that fills at some rate up to some size, and is taken from.
--- a/crates/springusher/src/choice.rs
+++ b/crates/springusher/src/choice.rs
@@ -192,7 +192,7 @@
                 (server.strikes, server.ejected_until, server.answered) = (0, 0.0, now);
                 server.slowness.blend((end.time() / mean.1).min(worst), SAMPLE);
             }
-            Outcome::Cancelled => server.slowness.blend((end.time() / mean.1).min(worst), SAMPLE),
+            Outcome::Cancelled => server.slowness.blend_bound((end.time() / mean.1).min(worst), SAMPLE),
             Outcome::Moot => {}
             // Guards against a server that fails some or all of what it gets, at once or late: each failure
             // weighs as a very slow answer, and some in a row eject it. Hurts if the fault is the request's.
--- a/crates/springusher/src/control.rs
+++ b/crates/springusher/src/control.rs
@@ -95,7 +95,8 @@
             Event::Upload(request) => self.arrive(request, true, actions),
             Event::Whole(request) => self.whole(request, actions),
             Event::AttemptEnd(end) => self.attempt_ended(end, actions),
-            Event::Started(request) | Event::ClientGone(request) => self.close(request),
+            Event::Started(request) => self.close(request),
+            Event::ClientGone(request) => self.abandon(request, actions),
             Event::Timer(token) if token % 4 == LIST => actions.push(Action::FollowServers),
             Event::Timer(token) => self.timer(token, actions),
             Event::Servers { kind, entries } => self.roster(kind, entries, actions),
@@ -238,17 +239,15 @@
 
     /// Follows the server list. A server that drains or is gone gets nothing from this moment on.
     fn roster(&mut self, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
-        if self.settings.list_on_request {
-            match kind {
-                ListKind::Cached => actions.push(Action::FollowServers),
-                ListKind::Failed => actions.push(Action::Timer { at: self.now + 1000.0, token: LIST }),
-                _ => {}
-            }
+        match kind {
+            _ if !self.settings.list_on_request => {}
+            ListKind::Cached => actions.push(Action::FollowServers),
+            ListKind::Failed => actions.push(Action::Timer { at: self.now + 1000.0, token: LIST }),
+            _ => {}
         }
-        if kind == ListKind::Failed {
-            return;
+        if kind != ListKind::Failed {
+            self.fleet.list(&self.settings, self.now, (kind, entries), &mut self.rng);
+            self.room.ready(self.fleet.ready(), self.settings.gateways);
         }
-        self.fleet.list(&self.settings, self.now, (kind, entries), &mut self.rng);
-        self.room.ready(self.fleet.ready(), self.settings.gateways);
     }
 }
--- a/crates/springusher/src/interface.rs
+++ b/crates/springusher/src/interface.rs
@@ -143,13 +143,27 @@
     pub retry_share: f64,
     /// Most further attempts that are saved up, beside one for each server.
     pub retries: f64,
+    /// Whether an attempt whose server is silent is given up for one at another, while its client waits.
+    #[serde(default = "yes")]
+    pub replaces_silent: bool,
+}
+
+fn yes() -> bool {
+    true
 }
 
 impl Default for Tuning {
     /// Zones are nearly alike, work takes a small part of the wanted time, and hundreds may be born at once, of which none
     /// knows of the others.
     fn default() -> Self {
-        Tuning { far: 1.1, late: 0.35, start: 0.5, retry_share: 0.15, retries: MOST_FIGURE }
+        Tuning {
+            far: 1.1,
+            late: 0.35,
+            start: 0.5,
+            retry_share: 0.15,
+            retries: MOST_FIGURE,
+            replaces_silent: true,
+        }
     }
 }
 
--- a/crates/springusher/src/life.rs
+++ b/crates/springusher/src/life.rs
@@ -177,8 +177,8 @@
         }
         let Some(last) = open.attempts.last().filter(|last| last.out) else { return };
         let (settings, mean) = (&self.settings, self.kinds.mean_answer());
-        let one_at_a_time =
-            open.class.effect == Effect::Free && !settings.may_duplicate && settings.may_cancel;
+        let may_replace = settings.tuning.replaces_silent && settings.may_cancel;
+        let one_at_a_time = open.class.effect == Effect::Free && !settings.may_duplicate && may_replace;
         if self.may_try_again(open) {
             self.further(id, actions);
         } else if one_at_a_time && self.has_more(open) {
@@ -224,8 +224,7 @@
             // One that was given up has paid for the next; one that never went out costs nothing.
             let unsent = matches!(end.outcome, Outcome::Cancelled | Outcome::Moot);
             self.retry_budget += if unsent { 1.0 } else { 0.0 };
-            let again = self.may_try_again(open);
-            if !(again && self.further(end.request, actions)) {
+            if !(self.may_try_again(open) && self.further(end.request, actions)) {
                 self.give_up(end.request, actions);
             }
         }
@@ -248,12 +247,19 @@
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
         if open.ran().is_none() {
-            self.refuse(id, 0.0, actions);
-        } else {
-            actions.push(Action::Fail(id));
+            return self.refuse(id, 0.0, actions);
+        }
+        actions.push(Action::Fail(id));
+        self.call_off(id, actions);
+        self.close(id);
+    }
+
+    /// The client left: what has no effect is called off, all else runs to its end. Nothing follows.
+    pub(crate) fn abandon(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        if self.requests.get(&id).is_some_and(|open| open.class.effect == Effect::Free) {
             self.call_off(id, actions);
-            self.close(id);
         }
+        self.close(id);
     }
 
     /// Cancels the attempts of a request that are still out, where that is allowed.
--- a/crates/turnstile/src/backends.rs
+++ b/crates/turnstile/src/backends.rs
@@ -357,7 +357,7 @@
         Ok(Held::Long(first.into(), body))
     }
 
-    /// Passes on what comes of an answer. Whether all of it came and its connection is of use.
+    /// Passes on what comes of an answer, for as long as its client takes it. Whether all of it came and its connection is of use.
     async fn pump(
         &self,
         connection: &mut Connection<N::Stream>,
@@ -371,10 +371,16 @@
             if self.clock.timeout(STANDSTILL, to.write(bytes)).await != Some(true) {
                 return false;
             }
-            next = match self.clock.timeout(STANDSTILL, connection.next(&mut rest)).await {
-                Some(Ok(next)) => next,
-                // `to` is dropped, and its client sees that the answer is not whole.
-                _ => return false,
+            let more = self.clock.timeout(STANDSTILL, connection.next(&mut rest));
+            next = tokio::select! {
+                biased;
+                more = more => match more {
+                    Some(Ok(next)) => next,
+                    // `to` is dropped, and its client sees that the answer is not whole.
+                    _ => return false,
+                },
+                // Guards against a backend that works on, and says nothing meanwhile, for a client that has left.
+                () = to.abandoned() => return false,
             };
         }
         let _ = self.clock.timeout(STANDSTILL, to.end()).await;
--- a/crates/turnstile/src/bodies/mod.rs
+++ b/crates/turnstile/src/bodies/mod.rs
@@ -168,6 +168,11 @@
         bytes.is_empty() || self.0.send(Piece::Bytes(bytes)).await.is_ok()
     }
 
+    /// Ready once nobody takes it any more.
+    pub async fn abandoned(&self) {
+        self.0.closed().await;
+    }
+
     /// All is written.
     pub async fn end(self) {
         let _ = self.0.send(Piece::End).await;
--- a/crates/turnstile/src/door.rs
+++ b/crates/turnstile/src/door.rs
@@ -95,8 +95,14 @@
     answer: Option<oneshot::Sender<Answer>>,
     /// A backend's answer that tells of a failure and is for the client if no attempt does better.
     failure: Option<Response<bodies::Answer>>,
-    /// To call each attempt off; `None` once it has ended.
-    attempts: Vec<Option<oneshot::Sender<()>>>,
+    attempts: Vec<Attempt>,
+}
+
+/// An attempt of a request, out until its end also when it was called off.
+struct Attempt {
+    /// To call it off; `None` once that was done.
+    cancel: Option<oneshot::Sender<()>>,
+    is_out: bool,
 }
 
 struct Inner {
@@ -230,7 +236,7 @@
     /// Whose attempts are out: each customer as often as there are.
     pub fn out(&self) -> Vec<CustomerId> {
         let out = |flight: &InFlight| {
-            let attempts = flight.attempts.iter().flatten().count();
+            let attempts = flight.attempts.iter().filter(|attempt| attempt.is_out).count();
             std::iter::repeat_n(flight.request.customer, attempts)
         };
         self.inner.borrow().requests.values().flat_map(out).collect()
@@ -313,7 +319,7 @@
                 };
                 let (cancel, cancelled) = oneshot::channel();
                 let number = flight.attempts.len() as u8;
-                flight.attempts.push(Some(cancel));
+                flight.attempts.push(Attempt { cancel: Some(cancel), is_out: true });
                 let attempt =
                     self.clone().attempt(request, number, server, flight.message.clone(), due, cancelled);
                 tokio::task::spawn_local(attempt);
@@ -326,8 +332,8 @@
             }
             Action::Cancel { request, attempt } => {
                 let flight = inner.requests.get_mut(&request);
-                let attempt = flight.and_then(|flight| flight.attempts.get_mut(usize::from(attempt))?.take());
-                if let Some(cancel) = attempt {
+                let attempt = flight.and_then(|flight| flight.attempts.get_mut(usize::from(attempt)));
+                if let Some(cancel) = attempt.and_then(|attempt| attempt.cancel.take()) {
                     let _ = cancel.send(());
                 }
             }
@@ -425,7 +431,7 @@
         }
         let mut finished = true;
         if let Some(flight) = inner.requests.get_mut(&request) {
-            flight.attempts[usize::from(attempt)] = None;
+            flight.attempts[usize::from(attempt)].is_out = false;
             finished = flight.answer.is_none();
         }
         let Inner { meter, requests, .. } = &mut *inner;
@@ -471,7 +477,9 @@
     }
 
     fn forget_if_over(&mut self, request: RequestId) {
-        let over = |flight: &InFlight| flight.answer.is_none() && flight.attempts.iter().all(Option::is_none);
+        let over = |flight: &InFlight| {
+            flight.answer.is_none() && flight.attempts.iter().all(|attempt| !attempt.is_out)
+        };
         if self.requests.get(&request).is_some_and(over) {
             if let Some(flight) = self.requests.remove(&request) {
                 self.names.remove(&flight.name);
