Tell each door its rank among the doors of its zone, by the leader

Cause (SHORT): a door took for its place among all doors how many of those that it knows come before it. The data plane moves when its place among the doors changes.

--- a/crates/junction/src/run.rs
+++ b/crates/junction/src/run.rs
@@ -100,6 +100,7 @@
 
     /// Tells the lender what tenants use here.
     fn report(&mut self) {
+        self.platform.set_ring_position(self.control.ring_position());
         let (number, used) = self.platform.report();
         if !used.is_empty() {
             self.handle(Event::Used(number, used));
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -95,6 +95,11 @@
     pub(crate) descriptors: Arc<Semaphore>,
 }
 
+/// Which of the doors one at this position is.
+fn ordinal(ring_position: f64, state: &State) -> u32 {
+    (ring_position * f64::from(state.slots)) as u32
+}
+
 /// What a backend works at for a client that waits is seen to its end, and not given up for another.
 fn settings_of_a_leaving_door(settings: Settings) -> Settings {
     let tuning = Tuning { replaces_silent: false, ..settings.tuning };
@@ -148,9 +153,13 @@
         text
     }
 
-    /// Where this door stands among all, from 0 up to 1; it holds from the next configuration on.
-    pub fn set_ring_position(&self, position: f64) {
-        self.ring_position.set(position);
+    /// Where this door stands on the ring of backends, from 0 up to 1.
+    pub fn set_ring_position(self: &Rc<Self>, position: f64) {
+        let before = self.ring_position.replace(position);
+        let state = self.state.borrow().clone();
+        if let Some(state) = state.filter(|state| ordinal(before, state) != ordinal(position, state)) {
+            self.settle_services(&state);
+        }
     }
 
     /// The state of the chain from now on. Older ones are passed over: this door never goes back.
@@ -175,9 +184,15 @@
             (shunting::tenant_id(&tenant.name), limit)
         });
         self.shares.settle(limits.collect(), state.slots);
+        self.settle_services(state);
+    }
+
+    /// Tells the services' decision modules what follows for them from a state, and from where this door stands.
+    fn settle_services(self: &Rc<Self>, state: &Arc<State>) {
+        let configuration = state.document.parsed();
         let place = Place {
             doors: state.slots,
-            ordinal: (self.ring_position.get() * f64::from(state.slots)) as u32,
+            ordinal: ordinal(self.ring_position.get(), state),
             zone: self.zone_index(&self.options.zone),
             drain_ms: self.options.drain_ms,
             retry_share: RETRY_PART * self.options.retry.0,
--- a/crates/signalbox/src/control.rs
+++ b/crates/signalbox/src/control.rs
@@ -7,6 +7,7 @@
 use crate::isolation::Doubt;
 use crate::log_updates::OnItsWay;
 use crate::membership::{Membership, Survive};
+use crate::ring_position::{OwnRank, Ranks};
 use crate::snapshots::Snapshots;
 use crate::telegram::{Envelope, Telegram};
 use crate::Millis;
@@ -93,6 +94,8 @@
     pub(crate) lender: Lender,
     pub(crate) lends: bool,
     pub(crate) limits: BTreeMap<TenantId, Limit>,
+    pub(crate) ranks: Ranks,
+    pub(crate) own_rank: OwnRank,
     /// Whom a machine without a vote takes for the leader, and when that was heard.
     pub(crate) told: Option<(Term, Ipv4Addr, Millis)>,
     /// Where this system's doors are called by backends; beats are asked for near where they come from.
@@ -139,6 +142,8 @@
             lender: Lender::default(),
             lends: false,
             limits: BTreeMap::new(),
+            ranks: Ranks::default(),
+            own_rank: OwnRank::default(),
             told: None,
             control_port: None,
             gossiped: 0,
@@ -274,6 +279,7 @@
         self.ask_for_vote();
         self.reconcile_voters();
         self.keep_leaving();
+        self.ask_for_rank();
     }
 
     fn hear(&mut self, from: Ipv4Addr, life: u64, telegram: Telegram) {
@@ -316,6 +322,8 @@
                     }
                 }
             }
+            Telegram::AskRank(zone) => self.rank_asked_by(from, zone),
+            Telegram::Rank(term, rank) => self.rank_told(term, rank),
             Telegram::Lent(term, number, loans) => {
                 self.actions.push(Action::Lent(term, number, loans));
             }
--- a/crates/signalbox/src/lending.rs
+++ b/crates/signalbox/src/lending.rs
@@ -1,6 +1,7 @@
 //! The leader lends shares of limits; nobody else does.
 
 use crate::control::{Control, ALL};
+use crate::ring_position::Ranks;
 use shunting::{Loan, Use};
 use std::net::Ipv4Addr;
 
@@ -10,6 +11,7 @@
         let holds = self.replica.leads();
         if holds && !self.lends {
             self.lender.begin(self.now);
+            self.ranks = Ranks::default();
             // All whom it knows hear at once where to turn.
             for ip in self.views.draw(ALL, |_| true) {
                 self.gossip_to(ip, false);
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -18,7 +18,7 @@
 mod log_updates;
 mod membership;
 mod operator;
-mod ring_position;
+pub mod ring_position;
 mod snapshots;
 mod status;
 pub mod telegram;
--- a/crates/signalbox/src/telegram.rs
+++ b/crates/signalbox/src/telegram.rs
@@ -2,6 +2,7 @@
 //! they say.
 
 use crate::backends::{Backend, RANGES};
+use crate::ring_position::Rank;
 use crate::snapshots::{Chunk, SnapshotId};
 use config_store::consensus::{Chosen, LogIndex, Message, Term};
 use serde::{Deserialize, Serialize};
@@ -61,6 +62,12 @@
     /// What is lent upon a report: term, number, loans.
     #[serde(rename = "l")]
     Lent(Term, u32, Vec<Loan>),
+    /// A door of this zone asks the leader for its rank among the doors there.
+    #[serde(rename = "p")]
+    AskRank(String),
+    /// The rank of the door that is told: term, rank.
+    #[serde(rename = "q")]
+    Rank(Term, Rank),
 }
 
 /// A telegram with its sender: address and life.
