--- a/crates/signalbox/src/membership.rs
+++ b/crates/signalbox/src/membership.rs
@@ -241,7 +241,8 @@
             }
             None => {}
         }
-        let known = (self.views.len() + 1).max(self.lender.doors(self.now)) as u32;
+        // Views are partial, and only doors with traffic report to the lender: those that asked for ranks are all.
+        let known = (self.views.len() + 1).max(self.lender.doors(self.now)).max(self.ranks.len()) as u32;
         let slots = state.slots.max(known);
         // Parts are cut anew with the voters, or once those who start together have met.
         let met = slots > state.slots && self.replica.has_led(self.now, 1_500);
--- a/crates/signalbox/src/ring_position.rs
+++ b/crates/signalbox/src/ring_position.rs
@@ -51,6 +51,11 @@
         self.doors.retain(|_, (_, asked)| now < *asked + FORGOTTEN);
     }
 
+    /// How many doors there are.
+    pub(crate) fn len(&self) -> usize {
+        self.doors.len()
+    }
+
     fn rank(&self, door: Ipv4Addr) -> Option<Rank> {
         let (zone, _) = self.doors.get(&door)?;
         let of_zone = || self.doors.iter().filter(|(_, (other, _))| other == zone).map(|(ip, _)| *ip);
