--- a/crates/sidings/src/door.rs
+++ b/crates/sidings/src/door.rs
@@ -22,6 +22,8 @@
     pub control: u16,
     /// The first and the last port of the doors' own.
     pub internal: (u16, u16),
+    /// For the counters.
+    pub metrics: u16,
 }
 
 /// A door that runs, or may be started again.
@@ -78,6 +80,11 @@
         SocketAddrV4::new(self.ip, self.ports.control)
     }
 
+    /// Where the counters are read.
+    pub fn metrics(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, self.ports.metrics)
+    }
+
     /// Starts the process with these settings.
     ///
     /// # Errors
@@ -94,7 +101,8 @@
         let log = OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.into_diagnostic().wrap_err_with(what)?;
         let mut command = Command::new(&self.program);
-        command.arg("run").env(VARIABLE, &self.settings);
+        command.args(["run", "--metrics-port", &self.ports.metrics.to_string()]);
+        command.env(VARIABLE, &self.settings);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         self.child = Some(command.spawn().into_diagnostic().wrap_err_with(what)?);
         Ok(())
--- a/crates/sidings/src/site.rs
+++ b/crates/sidings/src/site.rs
@@ -98,7 +98,8 @@
             front: first,
             ready: first + 1,
             control: first + 2,
-            internal: (first + 3, first + PORTS - 1),
+            internal: (first + 3, first + PORTS - 2),
+            metrics: first + PORTS - 1,
         };
         let doors = (1..=count)
             .map(|door| {
