--- a/crates/junction/src/run.rs
+++ b/crates/junction/src/run.rs
@@ -6,7 +6,7 @@
 use crate::settings::{Settings, VARIABLE};
 use platform::{Options, Platform};
 use signalbox::call::Reply;
-use signalbox::telegram::Envelope;
+use signalbox::peer_message::Envelope;
 use signalbox::{Action, Control, Event, Start};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use telegraph::frame;
 use telegraph::links::Links;
-use telegraph::views::Card;
+use telegraph::views::Member;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -76,8 +76,8 @@
         let now = self.start.elapsed().as_millis() as u64;
         for action in self.control.handle(now, event) {
             match action {
-                Action::Send(to, telegram) => {
-                    let envelope = Envelope(self.me.0, self.me.1, telegram);
+                Action::Send(to, message) => {
+                    let envelope = Envelope(self.me.0, self.me.1, message);
                     self.links.send(to, frame::encode(&envelope));
                 }
                 Action::Write(number, record) => self.disk.keep(number, record),
@@ -89,7 +89,7 @@
                 }
                 Action::Configuration(state) => {
                     self.platform.set_ring_position(self.control.ring_position());
-                    self.platform.word(&state);
+                    self.platform.apply_state(&state);
                 }
                 Action::Backend(backend) => self.platform.backend(&backend),
                 Action::Dropped(id) => self.platform.dropped(&id),
@@ -126,7 +126,7 @@
 
     fn frame(&mut self, bytes: &[u8]) {
         if let Some(envelope) = frame::decode::<Envelope>(bytes) {
-            self.handle(Event::Telegram(envelope));
+            self.handle(Event::PeerMessage(envelope));
         }
     }
 }
@@ -159,11 +159,11 @@
         seed,
     };
     let platform = Platform::new(SystemClock, Tcp, options);
-    let card =
-        Card { ip: settings.ip, life, zone: settings.zone.clone(), disk: 0, counted: settings.counted };
+    let member =
+        Member { ip: settings.ip, life, zone: settings.zone.clone(), disk: 0, counted: settings.counted };
     let mut control = Control::new(
         Start {
-            card,
+            member,
             seeds: settings.seeds.clone(),
             first_start: settings.first_start,
             survive: settings.survive.clone(),
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -162,8 +162,8 @@
         }
     }
 
-    /// The state of the chain from now on. Older ones are passed over: this door never goes back.
-    pub fn word(self: &Rc<Self>, state: &Arc<State>) {
+    /// The state of the log from now on. Older ones are passed over: this door never goes back.
+    pub fn apply_state(self: &Rc<Self>, state: &Arc<State>) {
         let before = self.state.borrow().clone();
         if before.as_ref().is_some_and(|before| before.index >= state.index) {
             return;
--- a/crates/sidings/tests/soak.rs
+++ b/crates/sidings/tests/soak.rs
@@ -329,7 +329,9 @@
     soak.look_for_exits();
     let end = journal.now();
     stop.set(true);
-    let silent = doors_that_serve_nobody(&soak.site, &journal, &plan.borrow()).await;
+    // Cloned: the operator may still be at its last change.
+    let last_plan = plan.borrow().clone();
+    let silent = doors_that_serve_nobody(&soak.site, &journal, &last_plan).await;
     soak.findings.extend(silent);
     journal.note(|history| history.end = end);
     for task in tasks {
--- a/crates/signalbox/src/backend_calls.rs
+++ b/crates/signalbox/src/backend_calls.rs
@@ -4,7 +4,7 @@
 use crate::backends::{Backend, News};
 use crate::call::Reply;
 use crate::control::{Action, Control, ALL};
-use crate::telegram::Telegram;
+use crate::peer_message::PeerMessage;
 use crate::Millis;
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
@@ -32,7 +32,7 @@
             }
         }
         if let Some(number) = number {
-            self.send(from, Telegram::Confirmed(number, self.replica.state().index));
+            self.send(from, PeerMessage::Confirmed(number, self.replica.state().index));
         }
         if !outdated.is_empty() {
             // Whoever told it told others too.
@@ -53,15 +53,15 @@
 
     /// Tells all whom it knows; of many, some of its own zone and one of each other, who tell on in theirs.
     pub(crate) fn spread(&mut self, records: Vec<Backend>, except: Option<Ipv4Addr>) {
-        let zone = self.start.card.zone.clone();
+        let zone = self.start.member.zone.clone();
         let to = if self.views.len() <= ALL {
             self.views.draw(ALL, |_| true)
         } else {
-            let zones: BTreeSet<String> = self.views.cards().map(|card| card.zone.clone()).collect();
+            let zones: BTreeSet<String> = self.views.members().map(|member| member.zone.clone()).collect();
             let far = |other: &String| *other != zone;
-            let mut to = self.views.draw(SOME, |card| card.zone == zone);
+            let mut to = self.views.draw(SOME, |member| member.zone == zone);
             for other in zones.iter().filter(|other| far(other)) {
-                to.extend(self.views.draw(1, |card| card.zone == *other));
+                to.extend(self.views.draw(1, |member| member.zone == *other));
             }
             to
         };
@@ -70,25 +70,29 @@
 
     /// Tells some of the own zone what was heard for the first time.
     pub(crate) fn spread_on(&mut self, records: &[Backend], except: Option<Ipv4Addr>) {
-        let zone = self.start.card.zone.clone();
-        let to = self.views.draw(ON, |card| card.zone == zone && Some(card.ip) != except);
+        let zone = self.start.member.zone.clone();
+        let to = self.views.draw(ON, |member| member.zone == zone && Some(member.ip) != except);
         self.tell(to, records, except);
     }
 
     pub(crate) fn tell(&mut self, to: Vec<Ipv4Addr>, records: &[Backend], except: Option<Ipv4Addr>) {
         for ip in to.into_iter().filter(|ip| Some(*ip) != except) {
-            self.send(ip, Telegram::Backends(records.to_vec(), None));
+            self.send(ip, PeerMessage::Backends(records.to_vec(), None));
         }
     }
 
     /// Acknowledges a beat, and names a door of the backend's own zone for the next ones.
     pub(crate) fn take_beat(&mut self, number: u64, record: &Backend) {
-        let own = &self.start.card;
+        let own = &self.start.member;
         let near = self.control_port.filter(|_| record.zone != own.zone).and_then(|port| {
-            let cards: Vec<Ipv4Addr> =
-                self.views.cards().filter(|card| card.zone == record.zone).map(|card| card.ip).collect();
-            let index = record.digest_of_name() as usize % cards.len().max(1);
-            cards.get(index).map(|ip| format!("{{\"reportTo\":\"{ip}:{port}\"}}").into_bytes())
+            let members: Vec<Ipv4Addr> = self
+                .views
+                .members()
+                .filter(|member| member.zone == record.zone)
+                .map(|member| member.ip)
+                .collect();
+            let index = record.digest_of_name() as usize % members.len().max(1);
+            members.get(index).map(|ip| format!("{{\"reportTo\":\"{ip}:{port}\"}}").into_bytes())
         });
         match near {
             Some(body) => {
--- a/crates/signalbox/src/confirmations.rs
+++ b/crates/signalbox/src/confirmations.rs
@@ -7,7 +7,7 @@
 use crate::call::Reply;
 use crate::control::Control;
 use crate::gossip::SPEAKS;
-use crate::telegram::Telegram;
+use crate::peer_message::PeerMessage;
 use crate::Millis;
 use config_store::consensus::LogIndex;
 use std::collections::{BTreeMap, BTreeSet};
@@ -90,7 +90,7 @@
         if self.is_cut_off() {
             return self.reply(call, Reply::NotNow("none of the core is heard"));
         }
-        let me = self.start.card.ip;
+        let me = self.start.member.ip;
         let confirmed_by = self.core().into_iter().filter(|ip| *ip == me).collect();
         let unconfirmed = Unconfirmed { call, record, confirmed_by, since: self.now, asked: None };
         self.confirmations.last += 1;
@@ -100,7 +100,8 @@
 
     /// Whether other machines of the core are known and none of them was heard of late.
     pub(crate) fn is_cut_off(&self) -> bool {
-        let others: Vec<Ipv4Addr> = self.core().into_iter().filter(|ip| *ip != self.start.card.ip).collect();
+        let others: Vec<Ipv4Addr> =
+            self.core().into_iter().filter(|ip| *ip != self.start.member.ip).collect();
         let heard = |ip: &Ipv4Addr| self.heard.get(ip).is_some_and(|at| self.now < at + SPEAKS);
         !others.is_empty() && self.now >= self.born + SPEAKS && !others.iter().any(heard)
     }
@@ -136,10 +137,10 @@
         let now = self.now;
         let Some(unconfirmed) = self.confirmations.open.get_mut(&number) else { return };
         unconfirmed.asked = Some(now);
-        let telegram = Telegram::Backends(vec![unconfirmed.record.clone()], Some(number));
+        let message = PeerMessage::Backends(vec![unconfirmed.record.clone()], Some(number));
         let to: Vec<Ipv4Addr> =
             core.iter().copied().filter(|ip| !unconfirmed.confirmed_by.contains(ip)).collect();
-        to.into_iter().for_each(|ip| self.send(ip, telegram.clone()));
+        to.into_iter().for_each(|ip| self.send(ip, message.clone()));
     }
 
     fn conclude(&mut self, number: u64, is_known: bool) {
--- a/crates/signalbox/src/control.rs
+++ b/crates/signalbox/src/control.rs
@@ -7,16 +7,16 @@
 use crate::isolation::Doubt;
 use crate::log_updates::OnItsWay;
 use crate::membership::{Membership, Survive};
+use crate::peer_message::{Envelope, PeerMessage};
 use crate::ring_position::{OwnRank, Ranks};
 use crate::snapshots::Snapshots;
-use crate::telegram::{Envelope, Telegram};
 use crate::Millis;
 use config_store::consensus::{self, Command, Record, Recovered, Replica, State, Term};
 use shunting::{Lender, Limit, Loan, TenantId, Use};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use telegraph::views::{Card, Views};
+use telegraph::views::{Member, Views};
 
 /// A door that tells its changes to all whom it knows, up to so many; with more it tells some, who tell on.
 pub(crate) const ALL: usize = 16;
@@ -29,7 +29,7 @@
 #[derive(Debug, Clone)]
 pub struct Start {
     /// What it says of itself; its disk is told later.
-    pub card: Card,
+    pub member: Member,
     /// Addresses to begin with.
     pub seeds: Vec<Ipv4Addr>,
     /// Whether the whole system starts for the first time.
@@ -47,8 +47,8 @@
 pub enum Event {
     /// Time passed.
     Tick,
-    /// A telegram came.
-    Telegram(Envelope),
+    /// A message came.
+    PeerMessage(Envelope),
     /// Somebody calls; the answer goes with the number.
     Call(u64, Call),
     /// The disk is there: its number and what was found on it.
@@ -67,7 +67,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Send this.
-    Send(Ipv4Addr, Telegram),
+    Send(Ipv4Addr, PeerMessage),
     /// Keep this, then say so.
     Write(u64, Record),
     /// Answer a call.
@@ -132,7 +132,7 @@
 impl Control {
     /// A machine that starts.
     pub fn new(start: Start, now: Millis) -> Control {
-        let (ip, seed) = (start.card.ip, start.seed);
+        let (ip, seed) = (start.member.ip, start.seed);
         Control {
             now,
             born: now,
@@ -158,7 +158,7 @@
             own: BTreeSet::new(),
             last_own: 1 << 62,
             begun: None,
-            membership: Membership::of(&start.card),
+            membership: Membership::of(&start.member),
             snapshots: Snapshots::default(),
             stood_still: None,
             is_isolated: false,
@@ -184,10 +184,10 @@
         self.watch_isolation();
         match event {
             Event::Tick => self.tick(),
-            Event::Telegram(Envelope(from, life, telegram)) => self.hear(from, life, telegram),
+            Event::PeerMessage(Envelope(from, life, message)) => self.hear(from, life, message),
             Event::Call(number, call) => self.call(number, call),
             Event::Disk(disk, found) => {
-                self.start.card.disk = disk;
+                self.start.member.disk = disk;
                 let done = self.replica.attach(now, disk, found);
                 self.carry_out(done);
             }
@@ -196,11 +196,11 @@
                 self.carry_out(done);
             }
             Event::Used(number, used) => match self.leader() {
-                Some((term, ip)) if ip == self.start.card.ip => {
-                    let loans = self.lend(ip, self.start.card.life, &used);
+                Some((term, ip)) if ip == self.start.member.ip => {
+                    let loans = self.lend(ip, self.start.member.life, &used);
                     self.actions.push(Action::Lent(term, number, loans));
                 }
-                Some((_, ip)) => self.send(ip, Telegram::Used(number, used)),
+                Some((_, ip)) => self.send(ip, PeerMessage::Used(number, used)),
                 None => {}
             },
             Event::Seeds(seeds) => self.start.seeds = seeds,
@@ -233,9 +233,9 @@
         self.replica.leader(self.now).into_iter().chain(told).max_by_key(|(term, _)| *term)
     }
 
-    pub(crate) fn send(&mut self, to: Ipv4Addr, telegram: Telegram) {
-        if to != self.start.card.ip {
-            self.actions.push(Action::Send(to, telegram));
+    pub(crate) fn send(&mut self, to: Ipv4Addr, message: PeerMessage) {
+        if to != self.start.member.ip {
+            self.actions.push(Action::Send(to, message));
         }
     }
 
@@ -245,8 +245,8 @@
         if !voters.is_empty() {
             return voters.iter().map(|voter| voter.ip).collect();
         }
-        let own = self.start.card.counted.then_some(self.start.card.ip);
-        self.views.cards().filter(|card| card.counted).map(|card| card.ip).chain(own).collect()
+        let own = self.start.member.counted.then_some(self.start.member.ip);
+        self.views.members().filter(|member| member.counted).map(|member| member.ip).chain(own).collect()
     }
 
     fn tick(&mut self) {
@@ -282,49 +282,49 @@
         self.ask_for_rank();
     }
 
-    fn hear(&mut self, from: Ipv4Addr, life: u64, telegram: Telegram) {
+    fn hear(&mut self, from: Ipv4Addr, life: u64, message: PeerMessage) {
         self.end_isolation(from);
         self.heard.insert(from, self.now);
-        match telegram {
-            Telegram::Gossip(card, index, digest, leader, cards, back) => {
-                self.receive_gossip(card, (index, digest), leader, cards, back);
+        match message {
+            PeerMessage::Gossip(member, index, digest, leader, members, back) => {
+                self.receive_gossip(member, (index, digest), leader, members, back);
             }
-            Telegram::Consensus(disk, message) => {
+            PeerMessage::Consensus(disk, message) => {
                 let done = self.replica.receive(self.now, consensus::VoterId { ip: from, disk }, message);
                 self.carry_out(done);
             }
-            Telegram::Fetch(index) => self.send_entries(from, index),
-            Telegram::Entries(entries) => self.receive_entries(from, entries),
-            Telegram::Snapshot(chunk) => self.receive_chunk(from, chunk),
-            Telegram::FetchSnapshot(id, offset) => self.continue_snapshot(from, id, offset),
-            Telegram::Ranges(theirs) => {
+            PeerMessage::Fetch(index) => self.send_entries(from, index),
+            PeerMessage::Entries(entries) => self.receive_entries(from, entries),
+            PeerMessage::Snapshot(chunk) => self.receive_chunk(from, chunk),
+            PeerMessage::FetchSnapshot(id, offset) => self.continue_snapshot(from, id, offset),
+            PeerMessage::Ranges(theirs) => {
                 let records = self.table.differing(self.now, &theirs);
                 if !records.is_empty() {
-                    self.send(from, Telegram::Backends(records, None));
+                    self.send(from, PeerMessage::Backends(records, None));
                 }
             }
-            Telegram::Backends(records, number) => self.receive_backends(from, records, number),
-            Telegram::Confirmed(number, index) => self.confirmed(number, from, index),
-            Telegram::Join(disk, index) => self.join_asked_by(from, disk, index),
-            Telegram::Leaving(disk, index) => self.left_by(from, disk, index),
-            Telegram::Released => self.released(),
-            Telegram::Bootstrap(slots) => {
-                if self.start.first_start && self.start.card.disk != 0 {
+            PeerMessage::Backends(records, number) => self.receive_backends(from, records, number),
+            PeerMessage::Confirmed(number, index) => self.confirmed(number, from, index),
+            PeerMessage::Join(disk, index) => self.join_asked_by(from, disk, index),
+            PeerMessage::Leaving(disk, index) => self.left_by(from, disk, index),
+            PeerMessage::Released => self.released(),
+            PeerMessage::Bootstrap(slots) => {
+                if self.start.first_start && self.start.member.disk != 0 {
                     let done = self.replica.bootstrap(self.now, slots);
                     self.carry_out(done);
                 }
             }
-            Telegram::Used(number, used) => {
+            PeerMessage::Used(number, used) => {
                 if let Some((term, ip)) = self.replica.leader(self.now) {
-                    if ip == self.start.card.ip {
+                    if ip == self.start.member.ip {
                         let loans = self.lend(from, life, &used);
-                        self.send(from, Telegram::Lent(term, number, loans));
+                        self.send(from, PeerMessage::Lent(term, number, loans));
                     }
                 }
             }
-            Telegram::AskRank(zone) => self.rank_asked_by(from, zone),
-            Telegram::Rank(term, rank) => self.rank_told(term, rank),
-            Telegram::Lent(term, number, loans) => {
+            PeerMessage::AskRank(zone) => self.rank_asked_by(from, zone),
+            PeerMessage::Rank(term, rank) => self.rank_told(term, rank),
+            PeerMessage::Lent(term, number, loans) => {
                 self.actions.push(Action::Lent(term, number, loans));
             }
         }
--- a/crates/signalbox/src/gossip.rs
+++ b/crates/signalbox/src/gossip.rs
@@ -2,12 +2,12 @@
 //! whether the tables of backends differ.
 
 use crate::control::Control;
-use crate::telegram::{LeaderTold, Telegram};
+use crate::peer_message::{LeaderTold, PeerMessage};
 use crate::Millis;
 use config_store::consensus::Term;
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
-use telegraph::views::{Aged, Card};
+use telegraph::views::{Aged, Member};
 
 /// Between two gossip exchanges, and between two while nobody is known yet.
 const GOSSIP: Millis = 400;
@@ -39,33 +39,36 @@
     /// Hails one of the core, one of those known, and, while few are known, the seeds.
     pub(crate) fn gossip_next(&mut self) {
         self.turn += 1;
-        let me = self.start.card.ip;
+        let me = self.start.member.ip;
         let core: Vec<Ipv4Addr> = self.core().into_iter().filter(|ip| *ip != me).collect();
-        let zone = self.start.card.zone.clone();
+        let zone = self.start.member.zone.clone();
         // One that has said nothing for long may be cut off: then those farther away are asked.
         let (heard, now) = (&self.heard, self.now);
         let speaks = |ip: &Ipv4Addr| heard.get(ip).is_some_and(|at| now < at + SPEAKS);
         let is_near =
-            |ip: &Ipv4Addr| speaks(ip) && self.views.card(*ip).is_some_and(|card| card.zone == zone);
+            |ip: &Ipv4Addr| speaks(ip) && self.views.member(*ip).is_some_and(|member| member.zone == zone);
         let near: Vec<Ipv4Addr> = core.iter().copied().filter(is_near).collect();
         let mut to: BTreeSet<Ipv4Addr> = BTreeSet::new();
         // Mostly near: bytes between zones cost. All of the core and all doors have their turn.
         let far = self.turn % FAR_TURN < 2;
         let is_cut_off = !core.iter().any(speaks);
-        if self.turn.is_multiple_of(2) && !core.is_empty() {
+        if is_cut_off && !core.is_empty() {
+            // At each turn: what is known here of backends is doubted from when the core is heard again.
+            to.insert(core[self.turn % core.len()]);
+        } else if self.turn.is_multiple_of(2) && !core.is_empty() {
             let of = if near.is_empty() || far { &core } else { &near };
             to.insert(of[(self.turn / 2) % of.len()]);
         } else if far {
             to.extend(self.views.draw(1, |_| true));
         } else {
-            let drawn = self.views.draw(1, |card| card.zone == zone && speaks(&card.ip));
+            let drawn = self.views.draw(1, |member| member.zone == zone && speaks(&member.ip));
             to.extend(if drawn.is_empty() { self.views.draw(1, |_| true) } else { drawn });
         }
         // Who hears none of the core follows through others that it hears, wherever they are.
         if is_cut_off {
-            let drawn = self.views.draw(1, |card| speaks(&card.ip));
+            let drawn = self.views.draw(1, |member| speaks(&member.ip));
             to.extend(if drawn.is_empty() {
-                self.views.draw(1, |card| !core.contains(&card.ip))
+                self.views.draw(1, |member| !core.contains(&member.ip))
             } else {
                 drawn
             });
@@ -85,24 +88,24 @@
         };
         let leader = self.leader().map(told);
         let (index, digest) = (self.replica.state().index, self.table.digest());
-        let cards = self.views.swap(self.now, to);
-        let card = self.start.card.clone();
-        self.send(to, Telegram::Gossip(card, index, digest, leader, cards, back));
+        let members = self.views.swap(self.now, to);
+        let member = self.start.member.clone();
+        self.send(to, PeerMessage::Gossip(member, index, digest, leader, members, back));
     }
 
     pub(crate) fn receive_gossip(
         &mut self,
-        card: Card,
+        member: Member,
         (index, digest): (u64, u64),
         leader: Option<LeaderTold>,
-        cards: Vec<Aged>,
+        members: Vec<Aged>,
         back: bool,
     ) {
-        let from = card.ip;
+        let from = member.ip;
         self.indexes.insert(from, index);
-        self.membership.note_zone(&card);
-        self.views.hear(self.now, (card, 0));
-        for aged in cards {
+        self.membership.note_zone(&member);
+        self.views.hear(self.now, (member, 0));
+        for aged in members {
             self.views.hear(self.now, aged);
         }
         if let Some((term, ip, age)) = leader {
@@ -124,7 +127,7 @@
         } else if self.may_repair() {
             self.repaired = Some(self.now);
             let own = self.table.digests();
-            self.send(from, Telegram::Ranges(own));
+            self.send(from, PeerMessage::Ranges(own));
         }
     }
 
@@ -145,7 +148,7 @@
         if last.is_none_or(|at| self.now >= at + FETCH) {
             self.fetched.insert(from, self.now);
             let index = self.replica.state().index;
-            self.send(from, Telegram::Fetch(index));
+            self.send(from, PeerMessage::Fetch(index));
         }
     }
 }
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -1,5 +1,5 @@
 //! The control plane of a gateway's process: which backends there are ([`backends`]), what backends and operators call
-//! ([`call`]), what processes say to one another ([`telegram`]), and the one owner of all of it ([`Control`]).
+//! ([`call`]), what processes say to one another ([`peer_message`]), and the one owner of all of it ([`Control`]).
 //!
 //! [`Control`] does no I/O: a host hands it events with the time, and carries out the actions that come back. It holds
 //! this machine's replica of the log of configurations, the table of backends (soft state under leases, copied by
@@ -18,10 +18,10 @@
 mod log_updates;
 mod membership;
 mod operator;
+pub mod peer_message;
 pub mod ring_position;
 mod snapshots;
 mod status;
-pub mod telegram;
 
 pub use control::{Action, Control, Event, Start};
 pub use membership::Survive;
--- a/crates/signalbox/src/log_updates.rs
+++ b/crates/signalbox/src/log_updates.rs
@@ -1,8 +1,8 @@
 //! Updates of the log: who tells whom, so that every door has each entry soon and no link carries it often.
 
 use crate::control::{Control, ALL};
+use crate::peer_message::PeerMessage;
 use crate::snapshots::CHUNK;
-use crate::telegram::Telegram;
 use crate::Millis;
 use config_store::consensus::mutants::{is_chosen, Mutant};
 use config_store::consensus::{Chosen, LogIndex};
@@ -60,14 +60,15 @@
         if entries.is_empty() {
             self.offer_snapshot(to, index);
         } else {
-            self.send(to, Telegram::Entries(entries));
+            self.send(to, PeerMessage::Entries(entries));
         }
     }
 
     /// Whether a machine may be told of the log. Guards against a machine that is cut off and hands out an old
     /// configuration: without a leader that was heard of lately, only machines of the core are told, who need it to elect one.
     fn may_hand_out(&self, to: Ipv4Addr) -> bool {
-        let is_of_core = self.core().contains(&to) || self.views.card(to).is_some_and(|card| card.counted);
+        let is_of_core =
+            self.core().contains(&to) || self.views.member(to).is_some_and(|member| member.counted);
         is_of_core || self.leader().is_some() || is_chosen(Mutant::CutOffHandsOut)
     }
 
@@ -95,7 +96,7 @@
             (_, false) => ON,
         };
         let voters: Vec<Ipv4Addr> = self.replica.state().voters.iter().map(|voter| voter.ip).collect();
-        let to = self.views.draw(most, |card| !voters.contains(&card.ip));
+        let to = self.views.draw(most, |member| !voters.contains(&member.ip));
         // Of long ones it is told only that they are there.
         let entries = if is_short { entries } else { Vec::new() };
         self.tell_entries(&to, &entries);
@@ -112,7 +113,7 @@
             if entries.is_empty() {
                 self.gossip_to(*ip, false);
             } else {
-                self.send(*ip, Telegram::Entries(entries.to_vec()));
+                self.send(*ip, PeerMessage::Entries(entries.to_vec()));
             }
         }
     }
--- a/crates/signalbox/src/membership.rs
+++ b/crates/signalbox/src/membership.rs
@@ -10,13 +10,13 @@
 //! Who decides here is the leader; what it decides is an entry of the log like any other.
 
 use crate::control::Control;
-use crate::telegram::Telegram;
+use crate::peer_message::PeerMessage;
 use crate::Millis;
 use config_store::consensus::mutants::{is_chosen, Mutant};
 use config_store::consensus::{Command, LogIndex, VoterId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
-use telegraph::views::Card;
+use telegraph::views::Member;
 
 /// A voter that has not answered for so long is silent.
 const SILENCE: Millis = 1_200;
@@ -120,16 +120,16 @@
 
 impl Membership {
     /// What a machine knows at its start: its own zone.
-    pub(crate) fn of(card: &Card) -> Membership {
+    pub(crate) fn of(member: &Member) -> Membership {
         let mut membership = Membership::default();
-        membership.note_zone(card);
+        membership.note_zone(member);
         membership
     }
 
     /// A machine of the core tells in which zone it stands.
-    pub(crate) fn note_zone(&mut self, card: &Card) {
-        if card.counted {
-            self.zones.insert(card.ip, card.zone.clone());
+    pub(crate) fn note_zone(&mut self, member: &Member) {
+        if member.counted {
+            self.zones.insert(member.ip, member.zone.clone());
         }
     }
 
@@ -190,26 +190,29 @@
     /// The first seed of the very first start says who begins the log: itself, or the first of the core that it meets.
     /// Nobody else ever does, so there is one beginning.
     pub(crate) fn bootstrap_log(&mut self) {
-        let card = &self.start.card;
-        let is_first = self.start.first_start && self.start.seeds.first() == Some(&card.ip);
+        let member = &self.start.member;
+        let is_first = self.start.first_start && self.start.seeds.first() == Some(&member.ip);
         if !is_first || self.replica.state().index > 0 || self.now < MEET {
             return;
         }
         if self.begun.is_none() {
             let of_core = |disk: u64, counted: bool| disk != 0 && counted;
-            let others =
-                self.views.cards().filter(|card| of_core(card.disk, card.counted)).map(|card| card.ip);
-            let own = of_core(card.disk, card.counted).then_some(card.ip);
+            let others = self
+                .views
+                .members()
+                .filter(|member| of_core(member.disk, member.counted))
+                .map(|member| member.ip);
+            let own = of_core(member.disk, member.counted).then_some(member.ip);
             // Its own disk may not be open yet: with a disk to come it waits for that.
-            self.begun = if card.counted { own } else { others.min() };
+            self.begun = if member.counted { own } else { others.min() };
         }
         let slots = self.views.len() as u32 + 1;
         match self.begun {
-            Some(ip) if ip == self.start.card.ip => {
+            Some(ip) if ip == self.start.member.ip => {
                 let done = self.replica.bootstrap(self.now, slots);
                 self.carry_out(done);
             }
-            Some(ip) => self.send(ip, Telegram::Bootstrap(slots)),
+            Some(ip) => self.send(ip, PeerMessage::Bootstrap(slots)),
             None => {}
         }
     }
@@ -330,18 +333,18 @@
     /// A machine of the core without a vote asks the leader for one; while it knows no leader, others of the core who leads.
     /// One that is about to end never asks.
     pub(crate) fn ask_for_vote(&mut self) {
-        let card = &self.start.card;
-        let (me, disk, now) = (card.ip, card.disk, self.now);
+        let member = &self.start.member;
+        let (me, disk, now) = (member.ip, member.disk, self.now);
         let leader = self.leader().map(|(_, ip)| ip);
         let waits = !self.replica.votes() || leader.is_none();
-        let is_of_core = card.counted && disk != 0 && !self.membership.leaves;
+        let is_of_core = member.counted && disk != 0 && !self.membership.leaves;
         if !is_of_core || !waits || now < self.membership.asked + ASK_EVERY {
             return;
         }
         self.membership.asked = now;
         self.membership.turn += 1;
         if let Some(ip) = leader {
-            return self.send(ip, Telegram::Join(disk, self.replica.state().index));
+            return self.send(ip, PeerMessage::Join(disk, self.replica.state().index));
         }
         let others: Vec<Ipv4Addr> = self.core().into_iter().filter(|ip| *ip != me).collect();
         let turn = self.membership.turn % others.len().max(1);
@@ -368,7 +371,7 @@
 
     /// Whether this machine, which is about to end, may: it has no vote, or all that it knows is known to enough others.
     pub fn is_released(&self) -> bool {
-        self.membership.is_released || self.start.card.disk == 0 || !self.start.card.counted
+        self.membership.is_released || self.start.member.disk == 0 || !self.start.member.counted
     }
 
     pub(crate) fn keep_leaving(&mut self) {
@@ -383,8 +386,8 @@
         self.membership.asked = self.now;
         let index = self.replica.state().index;
         match self.leader() {
-            Some((_, ip)) if ip != self.start.card.ip => {
-                self.send(ip, Telegram::Leaving(self.start.card.disk, index));
+            Some((_, ip)) if ip != self.start.member.ip => {
+                self.send(ip, PeerMessage::Leaving(self.start.member.disk, index));
             }
             _ => {}
         }
@@ -398,7 +401,7 @@
         let leaver = VoterId { ip: from, disk };
         self.membership.leavers.insert(from, Leaver { disk, at: self.now });
         if is_chosen(Mutant::ReleasedUnasked) {
-            self.send(from, Telegram::Released);
+            self.send(from, PeerMessage::Released);
         }
         let voters = self.replica.state().voters.clone();
         let has_vote = voters.contains(&leaver);
@@ -407,7 +410,7 @@
         }
         let others: BTreeSet<VoterId> = voters.into_iter().filter(|voter| *voter != leaver).collect();
         if self.replica.is_known_to_majority_of(&others, index) {
-            self.send(from, Telegram::Released);
+            self.send(from, PeerMessage::Released);
         }
     }
 
--- a/crates/signalbox/src/operator.rs
+++ b/crates/signalbox/src/operator.rs
@@ -2,7 +2,7 @@
 
 use crate::call::Reply;
 use crate::control::{Action, Control};
-use crate::telegram::Telegram;
+use crate::peer_message::PeerMessage;
 use config_store::consensus::{self, Command, Outcome};
 use shunting::Limit;
 use std::sync::Arc;
@@ -18,7 +18,7 @@
             return self.carry_out(done);
         }
         match self.leader() {
-            Some((_, ip)) if ip != self.start.card.ip => self.reply(number, Reply::At(ip)),
+            Some((_, ip)) if ip != self.start.member.ip => self.reply(number, Reply::At(ip)),
             _ => self.reply(number, Reply::NotNow("nobody leads")),
         }
     }
@@ -28,8 +28,8 @@
         for action in actions {
             match action {
                 consensus::Action::Send(to, message) => {
-                    let disk = self.start.card.disk;
-                    self.send(to, Telegram::Consensus(disk, message));
+                    let disk = self.start.member.disk;
+                    self.send(to, PeerMessage::Consensus(disk, message));
                 }
                 consensus::Action::Write(number, record) => self.actions.push(Action::Write(number, record)),
                 consensus::Action::Fetch(from) => self.fetch(from),
--- a/crates/signalbox/src/telegram.rs
+++ b/crates/signalbox/src/peer_message.rs
@@ -8,18 +8,18 @@
 use serde::{Deserialize, Serialize};
 use shunting::{Loan, Use};
 use std::net::Ipv4Addr;
-use telegraph::views::{Aged, Card};
+use telegraph::views::{Aged, Member};
 
 /// Who leads, under which term, and how many milliseconds ago it was heard.
 pub type LeaderTold = (Term, Ipv4Addr, u32);
 
 /// One thing said.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Telegram {
-    /// A door tells of itself: its log index, the digest of its table, who leads, some cards, and
+pub enum PeerMessage {
+    /// A door tells of itself: its log index, the digest of its table, who leads, some members, and
     /// whether it wants the same back.
     #[serde(rename = "h")]
-    Gossip(Card, LogIndex, u64, Option<LeaderTold>, Vec<Aged>, bool),
+    Gossip(Member, LogIndex, u64, Option<LeaderTold>, Vec<Aged>, bool),
     /// Between voters; the number of the sender's disk.
     #[serde(rename = "c")]
     Consensus(u64, Message),
@@ -70,6 +70,6 @@
     Rank(Term, Rank),
 }
 
-/// A telegram with its sender: address and life.
+/// A message with its sender: address and life.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Envelope(pub Ipv4Addr, pub u64, pub Telegram);
+pub struct Envelope(pub Ipv4Addr, pub u64, pub PeerMessage);
--- a/crates/signalbox/src/ring_position.rs
+++ b/crates/signalbox/src/ring_position.rs
@@ -7,7 +7,7 @@
 //! from its partial view.
 
 use crate::control::Control;
-use crate::telegram::Telegram;
+use crate::peer_message::PeerMessage;
 use crate::Millis;
 use config_store::consensus::Term;
 use serde::{Deserialize, Serialize};
@@ -82,9 +82,9 @@
 
     /// The rank in the partial view, which is a draw from all doors.
     fn estimated_rank(&self) -> Rank {
-        let me = &self.start.card;
-        let of_zone = || self.views.cards().filter(|card| card.zone == me.zone);
-        let before = of_zone().filter(|card| card.ip < me.ip).count();
+        let me = &self.start.member;
+        let of_zone = || self.views.members().filter(|member| member.zone == me.zone);
+        let before = of_zone().filter(|member| member.ip < me.ip).count();
         Rank { before: before as u16, doors: of_zone().count() as u16 + 1 }
     }
 
@@ -96,11 +96,11 @@
         }
         let Some((_, leader)) = self.leader() else { return };
         self.own_rank.asked = Some(self.now);
-        let zone = self.start.card.zone.clone();
-        if leader == self.start.card.ip {
+        let zone = self.start.member.zone.clone();
+        if leader == self.start.member.ip {
             self.rank_asked_by(leader, zone);
         } else {
-            self.send(leader, Telegram::AskRank(zone));
+            self.send(leader, PeerMessage::AskRank(zone));
         }
     }
 
@@ -112,10 +112,10 @@
             return;
         }
         let Some(rank) = self.ranks.rank(door) else { return };
-        if door == self.start.card.ip {
+        if door == self.start.member.ip {
             self.rank_told(term, rank);
         } else {
-            self.send(door, Telegram::Rank(term, rank));
+            self.send(door, PeerMessage::Rank(term, rank));
         }
     }
 
--- a/crates/signalbox/src/snapshots.rs
+++ b/crates/signalbox/src/snapshots.rs
@@ -5,7 +5,7 @@
 //! state in only when all bytes are there and have the digest.
 
 use crate::control::Control;
-use crate::telegram::Telegram;
+use crate::peer_message::PeerMessage;
 use crate::Millis;
 use config_store::consensus::mutants::{is_chosen, Mutant};
 use config_store::consensus::{LogIndex, State};
@@ -182,7 +182,7 @@
         self.renew_source(index);
         let first = self.snapshots.source.as_ref().and_then(|source| source.chunk(0));
         if let Some(chunk) = first {
-            self.send(to, Telegram::Snapshot(chunk));
+            self.send(to, PeerMessage::Snapshot(chunk));
         }
     }
 
@@ -207,7 +207,7 @@
         self.renew_source(id.index.saturating_sub(1));
         let source = self.snapshots.source.as_ref().filter(|source| source.id == id);
         match source.and_then(|source| source.chunk(offset)) {
-            Some(chunk) => self.send(to, Telegram::Snapshot(chunk)),
+            Some(chunk) => self.send(to, PeerMessage::Snapshot(chunk)),
             None => self.offer_snapshot(to, id.index.saturating_sub(1)),
         }
     }
@@ -261,8 +261,8 @@
     fn ask_for_chunk(&mut self, from: Ipv4Addr) {
         let Some(download) = &mut self.snapshots.download else { return };
         download.asked = self.now;
-        let telegram = Telegram::FetchSnapshot(download.id, download.bytes.len() as u64);
-        self.send(from, telegram);
+        let message = PeerMessage::FetchSnapshot(download.id, download.bytes.len() as u64);
+        self.send(from, message);
     }
 
     /// Goes on with a download whose source fell silent, and forgets what is of no use any more.
--- a/crates/signalbox/src/status.rs
+++ b/crates/signalbox/src/status.rs
@@ -9,7 +9,7 @@
     /// As JSON. Places and ages are as they were heard last; a door that was not heard for 12 s is not named.
     pub fn status(&self) -> Value {
         let state = self.replica.state();
-        let (me, now) = (&self.start.card, self.now);
+        let (me, now) = (&self.start.member, self.now);
         let count = |stage| self.table.all(now).filter(|(backend, _)| backend.stage == stage).count();
         let doors: Vec<Value> = self
             .heard
@@ -18,7 +18,7 @@
                 let index = self.indexes.get(ip);
                 json!({
                     "ip": ip,
-                    "zone": self.views.card(*ip).map(|card| card.zone.as_str()),
+                    "zone": self.views.member(*ip).map(|member| member.zone.as_str()),
                     "index": index,
                     "behind": index.map(|index| state.index.saturating_sub(*index)),
                     "heardMsAgo": now.saturating_sub(*at),
--- a/crates/signalbox/tests/world/mod.rs
+++ b/crates/signalbox/tests/world/mod.rs
@@ -16,11 +16,11 @@
 use script::{Line, Millis, Script, Setup};
 use sha2::{Digest, Sha256};
 use signalbox::call::{Call, Reply};
-use signalbox::telegram::{Envelope, Telegram};
+use signalbox::peer_message::{Envelope, PeerMessage};
 use signalbox::{Action, Chunk, Control, Event, SnapshotId, Start, Survive};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
-use telegraph::views::Card;
+use telegraph::views::Member;
 
 /// Between two ticks of a process; between two looks of the judge; between two beats of a backend.
 const TICK: Millis = 60;
@@ -134,9 +134,9 @@
 
 /// Whether a machine takes in a snapshot of which a byte was changed on its way, so that it still can be read.
 pub fn spoilt_snapshot_is_installed() -> bool {
-    let card = Card { ip: ip(0), life: 1, zone: "a".to_owned(), disk: 0, counted: false };
+    let member = Member { ip: ip(0), life: 1, zone: "a".to_owned(), disk: 0, counted: false };
     let survive = Survive::machines(1);
-    let start = Start { card, seeds: vec![ip(1)], first_start: false, survive, beat_ms: BEAT, seed: 1 };
+    let start = Start { member, seeds: vec![ip(1)], first_start: false, survive, beat_ms: BEAT, seed: 1 };
     let mut control = Control::new(start, 0);
     let bytes = |slots: u32| {
         let state = State { index: 9, slots, ..State::nothing() };
@@ -150,7 +150,7 @@
     let id = SnapshotId { index: 9, digest };
     let total = spoilt.len() as u64;
     let chunk = Chunk { id, total, offset: 0, bytes: spoilt };
-    control.handle(10, Event::Telegram(Envelope(ip(1), 1, Telegram::Snapshot(chunk))));
+    control.handle(10, Event::PeerMessage(Envelope(ip(1), 1, PeerMessage::Snapshot(chunk))));
     control.state().index == 9
 }
 
@@ -276,7 +276,7 @@
             Step::Synced(one, life) => self.synced(one, life),
             Step::Arrive(one, envelope) => {
                 if self.machines[one].control.is_some() {
-                    self.handle(one, Event::Telegram(envelope));
+                    self.handle(one, Event::PeerMessage(envelope));
                 }
             }
             Step::Call(one, try_number, call) => {
@@ -318,7 +318,7 @@
         machine.store.busy = self.now;
         machine.frozen_until = 0;
         let life = machine.life;
-        let card = Card {
+        let member = Member {
             ip: ip(one),
             life: life << 8 | one as u64,
             zone: machine.zone.clone(),
@@ -326,7 +326,7 @@
             counted: machine.counted,
         };
         let start = Start {
-            card,
+            member,
             seeds: machine.seeds.iter().map(|seed| ip(*seed)).collect(),
             first_start,
             survive: Survive::machines(self.setup.survive.unwrap_or((self.setup.disks - 1) / 2)),
@@ -440,7 +440,7 @@
         let Some(control) = &mut self.machines[one].control else { return };
         for action in control.handle(now, event) {
             match action {
-                Action::Send(to, telegram) => self.send(one, machine(to), telegram),
+                Action::Send(to, message) => self.send(one, machine(to), message),
                 Action::Write(number, record) => {
                     let wait = self.setup.sync + self.draw(3);
                     let store = &mut self.machines[one].store;
@@ -467,8 +467,8 @@
         !self.machines[to].deaf_to.contains(&from)
     }
 
-    fn send(&mut self, from: usize, to: usize, telegram: Telegram) {
-        if let Telegram::Entries(entries) = &telegram {
+    fn send(&mut self, from: usize, to: usize, message: PeerMessage) {
+        if let PeerMessage::Entries(entries) = &message {
             self.judge.chosen(from, entries, self.now);
         }
         if to >= self.machines.len() || !self.hears(from, to) {
@@ -477,7 +477,7 @@
         let same = self.machines[from].zone == self.machines[to].zone;
         let mut delay = if same { 1 } else { self.setup.apart } + self.draw(2);
         if let Some(mbit) = self.setup.mbit {
-            let bytes = size(&telegram);
+            let bytes = size(&message);
             let free = &mut self.machines[from].sends_free;
             *free = (*free).max(self.now) + bytes * 8 / (mbit * 1_000);
             delay += *free - self.now;
@@ -485,7 +485,7 @@
         if self.now < self.machines[from].lag.0 {
             delay += self.machines[from].lag.1;
         }
-        let envelope = Envelope(ip(from), self.machines[from].life << 8 | from as u64, telegram);
+        let envelope = Envelope(ip(from), self.machines[from].life << 8 | from as u64, message);
         if self.draw(100) < self.repeats.0 {
             let late = 1 + self.draw(self.repeats.1);
             self.at(delay + late, Step::Arrive(to, envelope.clone()));
@@ -608,18 +608,18 @@
     true
 }
 
-/// About how many bytes a telegram has on the wire.
-fn size(telegram: &Telegram) -> u64 {
+/// About how many bytes a message has on the wire.
+fn size(message: &PeerMessage) -> u64 {
     let of = |entry: &Entry| match entry {
         Entry::Replace { body, .. } | Entry::Change { body, .. } => body.len(),
         _ => 64,
     };
-    let bytes = match telegram {
-        Telegram::Entries(entries) => entries.iter().map(|chosen| of(&chosen.entry)).sum(),
-        Telegram::Snapshot(chunk) => chunk.bytes.len(),
-        Telegram::Consensus(_, Message::Accept { entry, .. }) => of(entry),
-        Telegram::Consensus(_, Message::Promise { open: Some((_, entry)), .. }) => of(entry),
-        Telegram::Backends(records, _) => 150 * records.len(),
+    let bytes = match message {
+        PeerMessage::Entries(entries) => entries.iter().map(|chosen| of(&chosen.entry)).sum(),
+        PeerMessage::Snapshot(chunk) => chunk.bytes.len(),
+        PeerMessage::Consensus(_, Message::Accept { entry, .. }) => of(entry),
+        PeerMessage::Consensus(_, Message::Promise { open: Some((_, entry)), .. }) => of(entry),
+        PeerMessage::Backends(records, _) => 150 * records.len(),
         _ => 300,
     };
     bytes as u64 + 60
