Count and log the evidence by which an attempt counts as never run

The counters could not distinguish a backend's rejection from a surplus copy of it, or a lost upload from a connection that was never established. Adds brassport_attempts_not_run_total{service,evidence} and a debug line per attempt with its connection. No outcome changes: data-plane and proxy tests pass, and the golden metrics page gains one case.

--- a/crates/brassport-appliance/src/looker.rs
+++ b/crates/brassport-appliance/src/looker.rs
@@ -7,6 +7,7 @@
 use crate::site::Site;
 use brassport::clock::{Clock, SystemClock};
 use brassport::hooks::{AttemptDelay, RequestEnd, RequestHooks};
+use brassport::protocol::AttemptTrace;
 use brassport_policy::{AttemptEnd, CustomerId, Millis, Request, RequestId, RetrySafety};
 use brassport_state::model::State;
 use brassport_state::store::Sent;
@@ -155,7 +156,7 @@
         }))
     }
 
-    fn on_attempt_end(&self, node: &str, end: &AttemptEnd) {
+    fn on_attempt_end(&self, node: &str, end: &AttemptEnd, _: &AttemptTrace) {
         self.board.borrow_mut().attempt_ended(self.now(), node, end);
     }
 
--- a/crates/brassport-data-plane/src/hooks.rs
+++ b/crates/brassport-data-plane/src/hooks.rs
@@ -5,6 +5,8 @@
 use brassport_policy::{AttemptEnd, Millis, Request, RequestId};
 use brassport_proxy::clock::Clock;
 use brassport_proxy::hooks::{RequestEnd, RequestHooks};
+use brassport_proxy::protocol::AttemptTrace;
+use brassport_proxy::upstream::ConnectionId;
 use brassport_quota::TenantId;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -14,6 +16,8 @@
 #[derive(Debug)]
 struct InFlight {
     tenant: TenantId,
+    /// The request id; `None` unless the ends of attempts are logged.
+    name: Option<Box<str>>,
     /// When the client disconnected without a response, in the time of [`TenantQuotas::now`]; `None` if it did not.
     client_left_ms: Option<brassport_quota::Millis>,
 }
@@ -34,8 +38,9 @@
 }
 
 impl<C: Clock> RequestHooks for ServiceHooks<C> {
-    fn on_admitted(&self, _: &str, request: &Request) {
-        let in_flight = InFlight { tenant: tenant_of(request.customer), client_left_ms: None };
+    fn on_admitted(&self, name: &str, request: &Request) {
+        let name = log::log_enabled!(log::Level::Debug).then(|| name.into());
+        let in_flight = InFlight { tenant: tenant_of(request.customer), name, client_left_ms: None };
         self.in_flight.borrow_mut().insert(request.id, in_flight);
     }
 
@@ -52,9 +57,16 @@
         })
     }
 
-    fn on_attempt_end(&self, _: &str, end: &AttemptEnd) {
-        let client_left_ms =
-            self.in_flight.borrow().get(&end.request).and_then(|in_flight| in_flight.client_left_ms);
+    fn on_attempt_end(&self, backend: &str, end: &AttemptEnd, trace: &AttemptTrace) {
+        if let Some(evidence) = trace.evidence {
+            self.counters.record_not_run(evidence);
+        }
+        let in_flight = self.in_flight.borrow();
+        let request = in_flight.get(&end.request);
+        if let Some(name) = request.and_then(|request| request.name.as_deref()) {
+            log_attempt_end(name, backend, end, trace);
+        }
+        let client_left_ms = request.and_then(|request| request.client_left_ms);
         let since_client_left_ms = client_left_ms.map(|at| self.quotas.now().saturating_sub(at));
         self.counters.record_attempt(end.outcome, since_client_left_ms);
     }
@@ -72,3 +84,15 @@
         self.in_flight.borrow_mut().remove(&request);
     }
 }
+
+/// Logs the end of an attempt with all that decides whether its request may be retried or rejected.
+fn log_attempt_end(name: &str, backend: &str, end: &AttemptEnd, trace: &AttemptTrace) {
+    let connection = trace.connection.map(|ConnectionId(number)| number);
+    log::debug!(
+        "attempt ended request={name} attempt={attempt} backend={backend} connection={connection:?} \
+         outcome={outcome:?} evidence={evidence:?}",
+        attempt = end.attempt,
+        outcome = end.outcome,
+        evidence = trace.evidence,
+    );
+}
--- a/crates/brassport-data-plane/src/metrics.rs
+++ b/crates/brassport-data-plane/src/metrics.rs
@@ -1,10 +1,12 @@
 //! Counters of the requests and attempts of one service on this node, in the Prometheus text format.
 //!
 //! Metric and label names are a public interface: `brassport_requests_total{service, verdict}`,
-//! `brassport_attempts_total{service, outcome}`, and `brassport_NAME{service}` for each other metric.
+//! `brassport_attempts_total{service, outcome}`, `brassport_attempts_not_run_total{service, evidence}`, and
+//! `brassport_NAME{service}` for each other metric.
 
 use brassport_policy::{GatewayMetrics, Outcome};
 use brassport_proxy::hooks::RequestEnd;
+use brassport_proxy::protocol::NotRunEvidence;
 use std::cell::Cell;
 use std::fmt::Write;
 
@@ -42,6 +44,8 @@
     pub quota_exhausted: Counter,
     /// Ended attempts by outcome, in the order of [`OUTCOMES`].
     outcomes: [Counter; OUTCOMES.len()],
+    /// Ended attempts that cannot have run, by evidence, in the order of [`EVIDENCE`].
+    not_run: [Counter; EVIDENCE.len()],
     /// Attempts whose client disconnected and that were then cancelled or never sent.
     pub cancelled_after_client_left: Counter,
     /// Attempts whose client disconnected and that ended without being cancelled.
@@ -62,6 +66,15 @@
     (Outcome::NotSent, "not_sent"),
 ];
 
+/// All evidence that an attempt cannot have run, with the metric labels.
+const EVIDENCE: [(NotRunEvidence, &str); 5] = [
+    (NotRunEvidence::Skipped, "skipped"),
+    (NotRunEvidence::NotConnected, "not_connected"),
+    (NotRunEvidence::Unsent, "unsent"),
+    (NotRunEvidence::IncompleteUpload, "incomplete_upload"),
+    (NotRunEvidence::Stated, "stated_by_backend"),
+];
+
 impl RequestCounters {
     /// Counts a request that has ended for its client.
     pub fn record_request(&self, end: RequestEnd) {
@@ -94,6 +107,23 @@
         }
     }
 
+    /// Counts an attempt that has ended and cannot have run.
+    pub fn record_not_run(&self, evidence: NotRunEvidence) {
+        for ((listed, _), counter) in EVIDENCE.iter().zip(&self.not_run) {
+            if *listed == evidence {
+                counter.increment();
+            }
+        }
+    }
+
+    /// Appends the counters of attempts that cannot have run, in the Prometheus text format.
+    pub fn write_evidence(&self, service: &str, text: &mut String) {
+        for ((_, evidence), counter) in EVIDENCE.iter().zip(&self.not_run) {
+            let labels = format!("service=\"{service}\",evidence=\"{evidence}\"");
+            let _ = writeln!(text, "brassport_attempts_not_run_total{{{labels}}} {}", counter.get());
+        }
+    }
+
     /// Appends the counters and the metrics of the policy to `text` in the Prometheus text format.
     pub fn write(&self, service: &str, policy_metrics: &GatewayMetrics, text: &mut String) {
         let verdicts = [
--- a/crates/brassport-data-plane/src/service.rs
+++ b/crates/brassport-data-plane/src/service.rs
@@ -126,6 +126,7 @@
         let now = self.policy.clock().now();
         let policy_metrics = self.policy.inspect(|policy| policy.metrics(now));
         self.counters.write(name, &policy_metrics, text);
+        self.counters.write_evidence(name, text);
     }
 
     /// Updates the endpoint list, and notifies the connection pool and the policy of the changes.
--- a/crates/brassport-data-plane/tests/it/metrics.rs
+++ b/crates/brassport-data-plane/tests/it/metrics.rs
@@ -4,6 +4,7 @@
 use brassport_data_plane::metrics::{RequestCounters, ABANDONED_AFTER_MS};
 use brassport_policy::{GatewayMetrics, Outcome};
 use brassport_proxy::hooks::RequestEnd;
+use brassport_proxy::protocol::NotRunEvidence;
 
 /// The name of an outcome in the fixture. The match is exhaustive, so that a new outcome does not compile until it is
 /// added here; it must then be added to [`OUTCOMES`] too.
@@ -31,6 +32,14 @@
     Outcome::NotSent,
 ];
 
+const EVIDENCE: [NotRunEvidence; 5] = [
+    NotRunEvidence::Skipped,
+    NotRunEvidence::NotConnected,
+    NotRunEvidence::Unsent,
+    NotRunEvidence::IncompleteUpload,
+    NotRunEvidence::Stated,
+];
+
 const NO_POLICY_METRICS: GatewayMetrics = GatewayMetrics {
     servers: 0,
     ready: 0,
@@ -87,6 +96,17 @@
     lines.join("\n")
 }
 
+/// The evidence counters with distinct values.
+fn evidence_page() -> String {
+    let counters = RequestCounters::default();
+    for (times, evidence) in (1..).zip(EVIDENCE) {
+        (0..times).for_each(|_| counters.record_not_run(evidence));
+    }
+    let mut text = String::new();
+    counters.write_evidence("search", &mut text);
+    text
+}
+
 #[test]
 fn the_lines_of_the_metrics_page_are_unchanged() {
     let mut cases = vec![("nothing yet".to_owned(), page(&RequestCounters::default(), &NO_POLICY_METRICS))];
@@ -94,5 +114,6 @@
     for outcome in OUTCOMES {
         cases.push((format!("one {}", name_of(outcome)), lines_of_one_attempt(outcome)));
     }
+    cases.push(("evidence".to_owned(), evidence_page()));
     GOLDEN.same_lines("metrics", &cases);
 }
--- a/crates/brassport-proxy/src/dispatch/attempt.rs
+++ b/crates/brassport-proxy/src/dispatch/attempt.rs
@@ -103,7 +103,7 @@
             used: self.meter(state, now, &result),
         };
         if let (Some(hooks), Some(name)) = (state.requests.hooks(), backend_name) {
-            hooks.on_attempt_end(name, &report);
+            hooks.on_attempt_end(name, &report, &result.trace);
         }
         let customer = state.requests.get(self.id).map(|in_flight| in_flight.request.customer);
         state.requests.remove_if_finished(self.id);
--- a/crates/brassport-proxy/src/hooks.rs
+++ b/crates/brassport-proxy/src/hooks.rs
@@ -9,6 +9,7 @@
 //! - at the response: [`on_request_end`](RequestHooks::on_request_end);
 //! - after the response and the last attempt: [`on_request_removed`](RequestHooks::on_request_removed).
 
+use crate::protocol::AttemptTrace;
 use brassport_policy::{AttemptEnd, CustomerId, Millis, Request, RequestId};
 use std::future::Future;
 use std::pin::Pin;
@@ -73,8 +74,8 @@
     }
 
     /// An attempt to this backend ended.
-    fn on_attempt_end(&self, backend: &str, end: &AttemptEnd) {
-        let _ = (backend, end);
+    fn on_attempt_end(&self, backend: &str, end: &AttemptEnd, trace: &AttemptTrace) {
+        let _ = (backend, end, trace);
     }
 
     /// A request got its final response, or its client has disconnected.
--- a/crates/brassport-proxy/src/protocol.rs
+++ b/crates/brassport-proxy/src/protocol.rs
@@ -1,6 +1,7 @@
 //! The interface to a program's upstream protocol: the headers it adds to an attempt, its classification of responses,
 //! and the observer of its attempts.
 
+use crate::upstream::ConnectionId;
 use brassport_policy::Outcome;
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
@@ -33,6 +34,30 @@
     pub idle_timeout: Option<Duration>,
 }
 
+/// What is known of an attempt beyond its outcome, for metrics and logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptTrace {
+    /// The connection that carried the request; `None` if none did.
+    pub connection: Option<ConnectionId>,
+    /// Why the request cannot have run; `None` if it may have run.
+    pub evidence: Option<NotRunEvidence>,
+}
+
+/// Why an attempt cannot have run its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotRunEvidence {
+    /// The attempt was skipped before the first byte of its request.
+    Skipped,
+    /// No connection was established.
+    NotConnected,
+    /// The connection was closed before the first byte of the request.
+    Unsent,
+    /// The request was not complete when its connection was lost or its time was over.
+    IncompleteUpload,
+    /// The backend's response states it.
+    Stated,
+}
+
 /// Observes attempts, for metrics.
 pub trait AttemptObserver {
     /// The request of an attempt was written, or a request that was reported as written turned out not to have been
--- a/crates/brassport-proxy/src/upstream/attempt.rs
+++ b/crates/brassport-proxy/src/upstream/attempt.rs
@@ -5,7 +5,7 @@
 //! [`release`](Exchange::release) the connection. A step that fails returns the [`Outcome`] of the attempt.
 
 use super::connection::ConnectionError;
-use super::pool::{PooledConnection, UpstreamPool};
+use super::pool::{ConnectionId, PooledConnection, UpstreamPool};
 use super::request::UpstreamRequest;
 use super::response::{self, ReceiveMode, ReceivedBody};
 use crate::body::{ResponseBody, StreamedBody, UpstreamBody};
@@ -13,7 +13,7 @@
 use crate::deadline::ResettableDeadline;
 use crate::mutants::mutant;
 use crate::network::Network;
-use crate::protocol::{AttemptEvent, ResponseClassification};
+use crate::protocol::{AttemptEvent, AttemptTrace, NotRunEvidence, ResponseClassification};
 use brassport_policy::{Outcome, ServerId};
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Incoming};
@@ -49,6 +49,8 @@
 pub struct AttemptResult {
     /// The outcome that is reported to the policy.
     pub outcome: Outcome,
+    /// The connection that carried the request, and why the request cannot have run.
+    pub trace: AttemptTrace,
     /// The customer's usage in the last metering period as a fraction of its rate limit; `None` if the response does
     /// not report it.
     pub quota_used: Option<f64>,
@@ -58,9 +60,54 @@
     pub streaming_since: Option<Instant>,
 }
 
-impl From<Outcome> for AttemptResult {
-    fn from(outcome: Outcome) -> AttemptResult {
-        AttemptResult { outcome, quota_used: None, response: None, streaming_since: None }
+impl AttemptResult {
+    /// A result without a response.
+    fn new(outcome: Outcome, evidence: Option<NotRunEvidence>) -> AttemptResult {
+        let trace = AttemptTrace { connection: None, evidence };
+        AttemptResult { outcome, trace, quota_used: None, response: None, streaming_since: None }
+    }
+}
+
+/// Why an attempt has no response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AttemptFailure {
+    /// The attempt was skipped before the first byte: the backend or the client is gone, or a limit forbids it.
+    Skipped,
+    /// No connection was established.
+    NotConnected,
+    /// The connection was closed before the first byte.
+    Unsent,
+    /// The connection was lost before the request was complete.
+    IncompleteUpload,
+    /// The connection was lost after the backend may have begun to run the request.
+    Interrupted,
+}
+
+impl AttemptFailure {
+    fn outcome(self) -> Outcome {
+        match self {
+            AttemptFailure::Skipped => Outcome::NotSent,
+            AttemptFailure::NotConnected | AttemptFailure::Unsent | AttemptFailure::IncompleteUpload => {
+                Outcome::NoConnection
+            }
+            AttemptFailure::Interrupted => reset(),
+        }
+    }
+
+    fn evidence(self) -> Option<NotRunEvidence> {
+        match self {
+            AttemptFailure::Skipped => Some(NotRunEvidence::Skipped),
+            AttemptFailure::NotConnected => Some(NotRunEvidence::NotConnected),
+            AttemptFailure::Unsent => Some(NotRunEvidence::Unsent),
+            AttemptFailure::IncompleteUpload => Some(NotRunEvidence::IncompleteUpload),
+            AttemptFailure::Interrupted => None,
+        }
+    }
+}
+
+impl From<AttemptFailure> for AttemptResult {
+    fn from(failure: AttemptFailure) -> AttemptResult {
+        AttemptResult::new(failure.outcome(), failure.evidence())
     }
 }
 
@@ -87,22 +134,18 @@
         let ended = tokio::select! {
             biased;
             _ = cancelled => Outcome::Cancelled,
-            result = &mut running => return result,
+            result = &mut running => return progress.traced(result),
             () = deadline.passed(&self.clock) => Outcome::TimedOut,
             () = request.stalled(&self.clock) => Outcome::TimedOut,
         };
         if progress.streaming_since.get().is_some() {
-            return running.await;
+            return progress.traced(running.await);
         }
         #[cfg(feature = "mutants")]
         if mutant!(KeepTimedOutAttempt) && ended == Outcome::TimedOut {
             std::mem::forget(running);
         }
-        match (progress.is_written.get() && request.is_complete(), ended) {
-            (true, ended) => ended.into(),
-            (false, Outcome::Cancelled) => Outcome::NotSent.into(),
-            (false, _) => Outcome::NoConnection.into(),
-        }
+        progress.traced(progress.interrupted(ended, request))
     }
 }
 
@@ -113,6 +156,26 @@
     is_written: Cell<bool>,
     /// When streaming of the response began; `None` before that.
     streaming_since: Cell<Option<Instant>>,
+    /// The connection that the request is sent on; `None` before that.
+    connection: Cell<Option<ConnectionId>>,
+}
+
+impl Progress {
+    /// The result of an attempt that was cancelled or timed out.
+    fn interrupted(&self, ended: Outcome, request: &UpstreamRequest) -> AttemptResult {
+        match (self.is_written.get(), request.is_complete(), ended) {
+            (true, true, ended) => AttemptResult::new(ended, None),
+            (_, _, Outcome::Cancelled) => AttemptFailure::Skipped.into(),
+            (true, false, _) => AttemptFailure::IncompleteUpload.into(),
+            (false, _, _) => AttemptFailure::NotConnected.into(),
+        }
+    }
+
+    /// Adds the connection to a result.
+    fn traced(&self, mut result: AttemptResult) -> AttemptResult {
+        result.trace.connection = self.connection.get();
+        result
+    }
 }
 
 /// Executes the steps of an attempt.
@@ -128,10 +191,11 @@
         self.steps().await.unwrap_or_else(AttemptResult::from)
     }
 
-    async fn steps(&self) -> Result<AttemptResult, Outcome> {
-        let address = self.pool.ready_address(self.target.backend).ok_or(Outcome::NotSent)?;
+    async fn steps(&self) -> Result<AttemptResult, AttemptFailure> {
+        let address = self.pool.ready_address(self.target.backend).ok_or(AttemptFailure::Skipped)?;
         let mut pooled = self.acquire(address).await?;
         let request = self.take_request(address)?;
+        self.progress.connection.set(Some(pooled.id));
         let (head, body) = self.send(&mut pooled, request).await?.into_parts();
         let classification = self.pool.protocol.classify(&self.target.request.headers, &head);
         let (result, is_complete) = self.receive(&mut pooled, classification, head, body).await?;
@@ -142,9 +206,10 @@
     }
 
     /// Acquires a connection to the backend, an idle one from the pool or a new one.
-    async fn acquire(&self, address: SocketAddr) -> Result<PooledConnection<N::Stream>, Outcome> {
+    async fn acquire(&self, address: SocketAddr) -> Result<PooledConnection<N::Stream>, AttemptFailure> {
         let start = self.pool.clock.now();
-        let pooled = self.pool.acquire(self.target.backend, address).await.ok_or(Outcome::NoConnection)?;
+        let pooled = self.pool.acquire(self.target.backend, address).await;
+        let pooled = pooled.ok_or(AttemptFailure::NotConnected)?;
         // Taking longer than the connect timeout means that the process was suspended. A drain of the backend may have
         // been announced in the meantime, so pending events are processed first.
         if self.pool.clock.now().saturating_duration_since(start) > self.pool.connect_timeout() {
@@ -154,18 +219,18 @@
     }
 
     /// Returns the request, provided that it still has to be sent to this address.
-    fn take_request(&self, address: SocketAddr) -> Result<Request<UpstreamBody>, Outcome> {
+    fn take_request(&self, address: SocketAddr) -> Result<Request<UpstreamBody>, AttemptFailure> {
         let AttemptTarget { backend, request, deadline } = &self.target;
         // While the connection was being established, the backend may have begun to drain, terminated or changed its
         // address, and the request may have been answered.
         let is_ready = self.pool.ready_address(*backend) == Some(address);
         if !is_ready || !(self.owner.may_send() || mutant!(SendBehindAnswer)) {
-            return Err(Outcome::NotSent);
+            return Err(AttemptFailure::Skipped);
         }
         let time_left = deadline.at().saturating_duration_since(self.pool.clock.now());
         let name = self.pool.backend_name(*backend);
         // A streamed body cannot be sent to a second backend.
-        request.for_attempt(time_left, &*self.pool.protocol, &name).ok_or(Outcome::NotSent)
+        request.for_attempt(time_left, &*self.pool.protocol, &name).ok_or(AttemptFailure::Skipped)
     }
 
     /// Sends the request and waits for the head of its response.
@@ -173,7 +238,7 @@
         &self,
         pooled: &mut PooledConnection<N::Stream>,
         request: Request<UpstreamBody>,
-    ) -> Result<Response<Incoming>, Outcome> {
+    ) -> Result<Response<Incoming>, AttemptFailure> {
         self.progress.is_written.set(true);
         // An upload is counted when it is complete.
         let is_counted = self.target.request.is_complete();
@@ -184,9 +249,12 @@
         if is_counted && matches!(sent, Err(ConnectionError::Unsent)) {
             self.pool.observer.on_attempt(AttemptEvent::NotWritten);
         }
-        sent.map_err(|error| match error.is_retryable(self.target.request.is_complete()) {
-            true => Outcome::NoConnection,
-            false => reset(),
+        sent.map_err(|error| match error {
+            ConnectionError::Unsent => AttemptFailure::Unsent,
+            ConnectionError::Interrupted if !self.target.request.is_complete() => {
+                AttemptFailure::IncompleteUpload
+            }
+            ConnectionError::Interrupted => AttemptFailure::Interrupted,
         })
     }
 
@@ -198,13 +266,14 @@
         classification: ResponseClassification,
         head: Parts,
         body: Incoming,
-    ) -> Result<(AttemptResult, bool), Outcome> {
+    ) -> Result<(AttemptResult, bool), AttemptFailure> {
         let may_stream = classification.is_for_client && head.status.is_success();
         let mode = if may_stream { ReceiveMode::MayStream } else { ReceiveMode::Buffer };
         let received = response::receive(&self.pool.clock, &mut pooled.connection, mode, body).await;
-        let mut result =
-            AttemptResult { quota_used: classification.quota_used, ..classification.outcome.into() };
-        match received.map_err(|_| reset())? {
+        let evidence = classification.outcome.never_ran().then_some(NotRunEvidence::Stated);
+        let mut result = AttemptResult::new(classification.outcome, evidence);
+        result.quota_used = classification.quota_used;
+        match received.map_err(|_| AttemptFailure::Interrupted)? {
             ReceivedBody::Complete(bytes) => {
                 let response = || Response::from_parts(head, Full::new(bytes).into());
                 result.response = classification.is_for_client.then(response);
--- a/crates/brassport-proxy/src/upstream/connection.rs
+++ b/crates/brassport-proxy/src/upstream/connection.rs
@@ -30,17 +30,6 @@
     Interrupted,
 }
 
-impl ConnectionError {
-    /// Whether the request cannot have run, so that retrying it is safe even if it is not idempotent. A backend cannot
-    /// run a request before it has received the last byte.
-    pub fn is_retryable(self, request_was_complete: bool) -> bool {
-        match self {
-            ConnectionError::Unsent => true,
-            ConnectionError::Interrupted => !request_was_complete,
-        }
-    }
-}
-
 impl fmt::Display for ConnectionError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/brassport-proxy/src/upstream/mod.rs
+++ b/crates/brassport-proxy/src/upstream/mod.rs
@@ -8,8 +8,8 @@
 //! returns or closes it before [`UpstreamPool::attempt`] completes. This module spawns no tasks; the program runs
 //! [`UpstreamPool::sweep`].
 //!
-//! Errors: a [`ConnectionError`] has its cause upstream; [`ConnectionError::is_retryable`] says whether the request can
-//! safely be retried. An attempt reports a [`brassport_policy::Outcome`], on which the policy bases its decisions.
+//! Errors: a [`ConnectionError`] has its cause upstream, and says whether part of the request may have been written. An
+//! attempt reports a [`brassport_policy::Outcome`], on which the policy bases its decisions.
 
 mod attempt;
 mod connection;
@@ -19,5 +19,5 @@
 
 pub use attempt::{AttemptOwner, AttemptResult, AttemptTarget};
 pub use connection::{ConnectionError, UpstreamConnection};
-pub use pool::UpstreamPool;
+pub use pool::{ConnectionId, UpstreamPool};
 pub use request::{RequestBody, StreamingUpload, UpstreamRequest};
--- a/crates/brassport-proxy/src/upstream/pool.rs
+++ b/crates/brassport-proxy/src/upstream/pool.rs
@@ -21,9 +21,14 @@
 /// Interval between two sweeps of the idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The number of a connection to a backend; unique within its pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionId(pub u64);
+
 /// A connection that is idle or in use by an attempt. It owns its descriptor permit: dropping it first closes the
 /// socket and then releases the permit.
 pub(super) struct PooledConnection<S: AsyncRead + AsyncWrite + Unpin + 'static> {
+    pub(super) id: ConnectionId,
     pub(super) connection: UpstreamConnection<S>,
     /// When the connection was established or last used.
     pub(super) idle_since: Instant,
@@ -51,6 +56,8 @@
     max_idle: Cell<Duration>,
     /// Whether connections are kept idle for reuse; false while another process replaces this one.
     keeps_idle: Cell<bool>,
+    /// The number of connections that were established.
+    connections: Cell<u64>,
     pub(super) observer: Rc<dyn AttemptObserver>,
     pub(super) protocol: Rc<dyn UpstreamProtocol>,
 }
@@ -75,6 +82,7 @@
             connect_timeout: Cell::new(connect_timeout),
             max_idle: Cell::new(idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION)),
             keeps_idle: Cell::new(true),
+            connections: Cell::new(0),
             observer,
             protocol,
         }
@@ -221,9 +229,11 @@
             std::mem::forget(descriptor);
             return None;
         }
-        let idle_since = self.clock.now();
+        let (connection, idle_since) = (opened?, self.clock.now());
+        self.connections.set(self.connections.get() + 1);
         Some(PooledConnection {
-            connection: opened?,
+            id: ConnectionId(self.connections.get()),
+            connection,
             idle_since,
             idle_timeout: None,
             _descriptor: descriptor,
--- a/crates/brassport/src/lib.rs
+++ b/crates/brassport/src/lib.rs
@@ -37,8 +37,8 @@
 mod upstream;
 
 pub use brassport_proxy::upstream::UpstreamConnection;
-pub use brassport_proxy::{clock, hooks, log, mutants, network};
-use brassport_proxy::{date, protocol, shutdown};
+pub use brassport_proxy::{clock, hooks, log, mutants, network, protocol};
+use brassport_proxy::{date, shutdown};
 pub use gateway::{
     run_gateway, run_gateway_with, Control, GatewayOptions, Inspection, MembershipInspector, Upgrades,
 };
