--- a/crates/brassport-testbed/src/backend.rs
+++ b/crates/brassport-testbed/src/backend.rs
@@ -1,9 +1,9 @@
 //! Stand-ins for backends.
 
 use crate::header::{CUSTOMER, EXPECT_SERVER, NOT_RUN, SERVER_ID, SERVER_SEAL, TIME_LEFT, TRY_ID, WORK_MS};
+use crate::heartbeat::{BackendState, Heartbeats, Registration};
 use crate::history::{Recorder, Run};
-use crate::http;
-use crate::site::{DRAIN_TIME, HEARTBEAT_INTERVAL};
+use crate::site::DRAIN_TIME;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::AUTHORIZATION;
@@ -16,14 +16,12 @@
 use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::task::{spawn_local, JoinHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
-/// How long the response to a heartbeat is waited for.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a backend says that it is emptying before it ends anyway.
 const MAX_DRAIN_REPORTS: usize = 12;
 /// How long it serves on beyond the time that the nodes have.
@@ -58,20 +56,11 @@
 /// A backend in this process. Dropped, it crashes.
 pub struct Backend {
     handler: Rc<RequestHandler>,
-    at: SocketAddrV4,
-    controls: Vec<SocketAddrV4>,
     heartbeats: Rc<Heartbeats>,
     server: JoinHandle<()>,
     heartbeat_task: JoinHandle<()>,
 }
 
-/// Where heartbeats go, and how many went.
-struct Heartbeats {
-    count: Cell<u64>,
-    node: Cell<usize>,
-    report_to: Cell<Option<SocketAddrV4>>,
-}
-
 impl Drop for Backend {
     fn drop(&mut self) {
         self.server.abort();
@@ -104,15 +93,18 @@
             is_terminating: Cell::new(false),
             runs: Cell::new(0),
         });
-        let heartbeats = Rc::new(Heartbeats {
-            count: Cell::new(0),
-            node: Cell::new(usize::from(at.port()) % controls.len().max(1)),
-            report_to: Cell::new(None),
-        });
+        let registration = Registration {
+            id: handler.id.clone(),
+            service: handler.spec.service.clone(),
+            zone: handler.spec.zone.clone(),
+            capacity: handler.spec.capacity,
+            address: at,
+        };
+        let heartbeats = Rc::new(Heartbeats::new(registration, controls));
         let server = spawn_local(serve(listener, handler.clone()));
-        let heartbeat_task =
-            spawn_local(send_heartbeats(handler.clone(), heartbeats.clone(), at, controls.clone()));
-        Ok(Backend { handler, at, controls, heartbeats, server, heartbeat_task })
+        let sender = heartbeats.clone();
+        let heartbeat_task = spawn_local(async move { sender.run().await });
+        Ok(Backend { handler, heartbeats, server, heartbeat_task })
     }
 
     /// Its id.
@@ -130,9 +122,7 @@
         self.heartbeat_task.abort();
         let mut is_acknowledged = false;
         for _ in 0..MAX_DRAIN_REPORTS {
-            let heartbeat =
-                send_heartbeat(&self.handler, &self.heartbeats, self.at, &self.controls, "emptying");
-            is_acknowledged = heartbeat.await;
+            is_acknowledged = self.heartbeats.send(BackendState::Draining).await;
             if is_acknowledged {
                 break;
             }
@@ -140,13 +130,7 @@
         }
         sleep(DRAIN_TIME + DRAIN_MARGIN).await;
         self.handler.is_terminating.set(true);
-        for at in &self.controls {
-            let path = format!("/Servers.SignOff/{}", self.handler.id);
-            let answer = http::call(*at, "POST", &path, &[], Vec::new(), HEARTBEAT_TIMEOUT).await;
-            if answer.is_ok_and(|answer| answer.status / 100 == 2) {
-                break;
-            }
-        }
+        self.heartbeats.sign_off().await;
         is_acknowledged
     }
 
@@ -154,51 +138,6 @@
     pub fn crash(self) {}
 }
 
-async fn send_heartbeats(
-    handler: Rc<RequestHandler>,
-    heartbeats: Rc<Heartbeats>,
-    at: SocketAddrV4,
-    controls: Vec<SocketAddrV4>,
-) {
-    loop {
-        let since = Instant::now();
-        let is_acknowledged = send_heartbeat(&handler, &heartbeats, at, &controls, "ready").await;
-        let pause = if is_acknowledged { HEARTBEAT_INTERVAL } else { Duration::from_millis(200) };
-        sleep(pause.saturating_sub(since.elapsed())).await;
-    }
-}
-
-/// One heartbeat, to the address that the last response named, or else to a node; after a failure to the next node.
-async fn send_heartbeat(
-    handler: &RequestHandler,
-    heartbeats: &Heartbeats,
-    at: SocketAddrV4,
-    controls: &[SocketAddrV4],
-    state: &str,
-) -> bool {
-    heartbeats.count.set(heartbeats.count.get() + 1);
-    let body = serde_json::json!({
-        "address": at.to_string(),
-        "details": {"service": handler.spec.service, "version": "v1", "zone": handler.spec.zone,
-            "capacity": handler.spec.capacity},
-        "status": {"state": state, "callCount": heartbeats.count.get(), "warmupLeftS": 0},
-    });
-    let to = heartbeats.report_to.take().unwrap_or_else(|| controls[heartbeats.node.get() % controls.len()]);
-    let path = format!("/Servers.CheckIn/{}", handler.id);
-    let headers = [("content-type", "application/json")];
-    match http::call(to, "POST", &path, &headers, body.to_string().into_bytes(), HEARTBEAT_TIMEOUT).await {
-        Ok(answer) if answer.status / 100 == 2 && answer.body.len() <= 4096 => {
-            let reply: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-            heartbeats.report_to.set(reply["reportTo"].as_str().and_then(|text| text.parse().ok()));
-            true
-        }
-        _ => {
-            heartbeats.node.set(heartbeats.node.get() + 1);
-            false
-        }
-    }
-}
-
 async fn serve(listener: TcpListener, handler: Rc<RequestHandler>) {
     // Dropped with this task, so that a crash closes them all.
     let mut connections = JoinSet::new();
--- a/crates/brassport-testbed/src/lib.rs
+++ b/crates/brassport-testbed/src/lib.rs
@@ -1,7 +1,8 @@
 //! A complete small site on loopback, for trying the gateway and for its tests.
 //!
 //! - [`site`] lays out the settings files and runs each [`node`] as a real process; [`relays`] can partition their links.
-//! - [`backend`] fakes backends, [`operator`] the operator, [`clients`] the clients and the platform, [`load`] their load.
+//! - [`backend`] fakes backends, [`faulty_backend`] one that misbehaves as the protocol allows, [`operator`] the operator,
+//!   [`clients`] the clients and the platform, [`load`] their load.
 //! - [`history`] records what all of them saw; [`rules`] judges it, [`report`] presents it.
 //! - [`play`] puts them together; the program `brassport-testbed` plays once and prints which rules were kept.
 //!
@@ -33,6 +34,8 @@
 pub mod backend;
 pub mod clients;
 pub mod configuration;
+pub mod faulty_backend;
+pub mod heartbeat;
 pub mod history;
 pub mod http;
 pub mod load;
@@ -62,6 +65,8 @@
     pub const CUSTOMER: &str = "x-customer";
     /// How long the backend is to work, in milliseconds: the stand-ins' own.
     pub const WORK_MS: &str = "x-work-ms";
+    /// The fault that the backend is to show: the stand-ins' own.
+    pub const FAULT: &str = "x-fault";
     /// The version that a configuration builds on.
     pub const BUILT_ON: &str = "x-built-on";
 }
--- a/crates/brassport-testbed/tests/it/main.rs
+++ b/crates/brassport-testbed/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod full_site;
 mod losses;
 mod metrics;
+mod refused;
 mod rolling;
 mod rules;
 mod schedules;
