Send a retry on a connection that carried no earlier attempt of its request

Callers saw 503 for non-idempotent requests that ran. All attempts of a request carry the id of the client's attempt. A backend that rejected the first one may send a surplus copy of the rejection later; if the retry went out on the same connection, the copy passed the check of the id and the request was rejected, or retried once more, while the retry ran.

The new test of the dispatcher failed before (1 connection, 2 wanted).

A surplus response can only arrive on the connection of the request that it belongs to, so it meets requests with other ids only, which reject it.

--- a/crates/brassport-proxy/src/dispatch/attempt.rs
+++ b/crates/brassport-proxy/src/dispatch/attempt.rs
@@ -7,7 +7,7 @@
 use crate::deadline::ResettableDeadline;
 use crate::mutants::mutant;
 use crate::network::Network;
-use crate::upstream::{AttemptOwner, AttemptResult, AttemptTarget, UpstreamRequest};
+use crate::upstream::{AttemptOwner, AttemptResult, AttemptTarget, UpstreamRequest, UsedConnections};
 use brassport_policy::{AttemptEnd, CustomerId, Event, Millis, Outcome, RequestId, ServerId};
 use hyper::Response;
 use std::rc::Rc;
@@ -22,6 +22,7 @@
     pub(super) backend: ServerId,
     pub(super) message: Rc<UpstreamRequest>,
     pub(super) deadline: Rc<ResettableDeadline>,
+    pub(super) used_connections: Rc<UsedConnections>,
 }
 
 impl<C: Clock, N: Network> AttemptTask<C, N> {
@@ -35,8 +36,12 @@
                 std::future::pending::<()>().await;
             }
         };
-        let target =
-            AttemptTarget { backend: self.backend, request: &self.message, deadline: &self.deadline };
+        let target = AttemptTarget {
+            backend: self.backend,
+            request: &self.message,
+            deadline: &self.deadline,
+            used_connections: &self.used_connections,
+        };
         let result = self.dispatcher.pool.attempt(target, &self, cancelled).await;
         self.finish(sent_at, backend_name.as_deref(), result);
     }
--- a/crates/brassport-proxy/src/dispatch/dispatcher.rs
+++ b/crates/brassport-proxy/src/dispatch/dispatcher.rs
@@ -148,8 +148,15 @@
             _ => in_flight.deadline.clone(),
         };
         let (number, cancelled) = in_flight.add_attempt();
-        let message = in_flight.message.clone();
-        let task = AttemptTask { dispatcher: self.clone(), id, number, backend, message, deadline };
+        let task = AttemptTask {
+            dispatcher: self.clone(),
+            id,
+            number,
+            backend,
+            message: in_flight.message.clone(),
+            deadline,
+            used_connections: in_flight.used_connections.clone(),
+        };
         tokio::task::spawn_local(task.run(cancelled));
     }
 
--- a/crates/brassport-proxy/src/dispatch/requests.rs
+++ b/crates/brassport-proxy/src/dispatch/requests.rs
@@ -4,7 +4,7 @@
 use crate::body::ResponseBody;
 use crate::deadline::ResettableDeadline;
 use crate::hooks::{RequestEnd, RequestHooks};
-use crate::upstream::UpstreamRequest;
+use crate::upstream::{UpstreamRequest, UsedConnections};
 use brassport_policy::{CustomerId, Request, RequestId};
 use hyper::Response;
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,6 +23,8 @@
     pub(super) client: Option<oneshot::Sender<RequestOutcome>>,
     /// An error response of a backend. It is sent to the client if no other attempt succeeds.
     pub(super) error_response: Option<Response<ResponseBody>>,
+    /// The connections that its attempts were sent on.
+    pub(super) used_connections: Rc<UsedConnections>,
     attempts: Vec<Attempt>,
 }
 
@@ -48,6 +50,7 @@
             deadline,
             client: Some(client),
             error_response: None,
+            used_connections: Rc::default(),
             attempts: Vec::new(),
         }
     }
--- a/crates/brassport-proxy/src/upstream/attempt.rs
+++ b/crates/brassport-proxy/src/upstream/attempt.rs
@@ -5,7 +5,7 @@
 //! [`release`](Exchange::release) the connection. A step that fails returns the [`Outcome`] of the attempt.
 
 use super::connection::ConnectionError;
-use super::pool::{ConnectionId, PooledConnection, UpstreamPool};
+use super::pool::{ConnectionId, PooledConnection, UpstreamPool, UsedConnections};
 use super::request::UpstreamRequest;
 use super::response::{self, ReceiveMode, ReceivedBody};
 use crate::body::{ResponseBody, StreamedBody, UpstreamBody};
@@ -32,6 +32,8 @@
     pub request: &'a UpstreamRequest,
     /// When the attempt times out.
     pub deadline: &'a ResettableDeadline,
+    /// The connections of the request's earlier attempts.
+    pub used_connections: &'a UsedConnections,
 }
 
 /// The caller's side of an attempt.
@@ -196,6 +198,7 @@
         let mut pooled = self.acquire(address).await?;
         let request = self.take_request(address)?;
         self.progress.connection.set(Some(pooled.id));
+        self.target.used_connections.insert(pooled.id);
         let (head, body) = self.send(&mut pooled, request).await?.into_parts();
         let classification = self.pool.protocol.classify(&self.target.request.headers, &head);
         let (result, is_complete) = self.receive(&mut pooled, classification, head, body).await?;
@@ -208,7 +211,8 @@
     /// Acquires a connection to the backend, an idle one from the pool or a new one.
     async fn acquire(&self, address: SocketAddr) -> Result<PooledConnection<N::Stream>, AttemptFailure> {
         let start = self.pool.clock.now();
-        let pooled = self.pool.acquire(self.target.backend, address).await;
+        let AttemptTarget { backend, used_connections, .. } = self.target;
+        let pooled = self.pool.acquire(backend, address, used_connections).await;
         let pooled = pooled.ok_or(AttemptFailure::NotConnected)?;
         // Taking longer than the connect timeout means that the process was suspended. A drain of the backend may have
         // been announced in the meantime, so pending events are processed first.
@@ -220,7 +224,7 @@
 
     /// Returns the request, provided that it still has to be sent to this address.
     fn take_request(&self, address: SocketAddr) -> Result<Request<UpstreamBody>, AttemptFailure> {
-        let AttemptTarget { backend, request, deadline } = &self.target;
+        let AttemptTarget { backend, request, deadline, .. } = &self.target;
         // While the connection was being established, the backend may have begun to drain, terminated or changed its
         // address, and the request may have been answered.
         let is_ready = self.pool.ready_address(*backend) == Some(address);
--- a/crates/brassport-proxy/src/upstream/mod.rs
+++ b/crates/brassport-proxy/src/upstream/mod.rs
@@ -19,5 +19,5 @@
 
 pub use attempt::{AttemptOwner, AttemptResult, AttemptTarget};
 pub use connection::{ConnectionError, UpstreamConnection};
-pub use pool::{ConnectionId, UpstreamPool};
+pub use pool::{ConnectionId, UpstreamPool, UsedConnections};
 pub use request::{RequestBody, StreamingUpload, UpstreamRequest};
--- a/crates/brassport-proxy/src/upstream/pool.rs
+++ b/crates/brassport-proxy/src/upstream/pool.rs
@@ -25,6 +25,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionId(pub u64);
 
+/// The connections that carried the attempts of one request. A later attempt must not use them: a surplus copy of the
+/// response to the earlier attempt has the id of the request, and would be taken for the response to the later one.
+#[derive(Debug, Default)]
+pub struct UsedConnections(RefCell<Vec<ConnectionId>>);
+
+impl UsedConnections {
+    pub(super) fn insert(&self, id: ConnectionId) {
+        self.0.borrow_mut().push(id);
+    }
+
+    fn contains(&self, id: ConnectionId) -> bool {
+        self.0.borrow().contains(&id)
+    }
+}
+
 /// A connection that is idle or in use by an attempt. It owns its descriptor permit: dropping it first closes the
 /// socket and then releases the permit.
 pub(super) struct PooledConnection<S: AsyncRead + AsyncWrite + Unpin + 'static> {
@@ -46,6 +61,14 @@
     idle: Vec<PooledConnection<S>>,
 }
 
+impl<S: AsyncRead + AsyncWrite + Unpin + 'static> Backend<S> {
+    /// Removes the most recently used idle connection that is not in `used`.
+    fn take_idle(&mut self, used: &UsedConnections) -> Option<PooledConnection<S>> {
+        let index = self.idle.iter().rposition(|pooled| !used.contains(pooled.id))?;
+        Some(self.idle.remove(index))
+    }
+}
+
 /// The backends of a program with their idle connections. Executes attempts.
 pub struct UpstreamPool<C, N: Network> {
     pub(super) clock: C,
@@ -197,23 +220,24 @@
         self.connect_timeout.get()
     }
 
-    /// Returns a connection for an attempt: an idle one if available, otherwise a new one. `None` if no connection can
-    /// be established.
+    /// Returns a connection for an attempt: an idle one that is not in `used` if available, otherwise a new one. `None`
+    /// if no connection can be established.
     pub(super) async fn acquire(
         &self,
         id: ServerId,
         address: SocketAddr,
+        used: &UsedConnections,
     ) -> Option<PooledConnection<N::Stream>> {
-        match self.take_idle(id).await {
+        match self.take_idle(id, used).await {
             Some(pooled) => Some(pooled),
             None => self.connect(address).await,
         }
     }
 
-    /// Takes the most recently used idle connection that is still open.
-    async fn take_idle(&self, id: ServerId) -> Option<PooledConnection<N::Stream>> {
+    /// Takes the most recently used idle connection that is still open and not in `used`.
+    async fn take_idle(&self, id: ServerId, used: &UsedConnections) -> Option<PooledConnection<N::Stream>> {
         loop {
-            let mut pooled = self.backends.borrow_mut().get_mut(&id)?.idle.pop()?;
+            let mut pooled = self.backends.borrow_mut().get_mut(&id)?.take_idle(used)?;
             if self.may_stay_idle(&pooled) && pooled.connection.is_reusable().await {
                 return Some(pooled);
             }
--- a/crates/brassport-proxy/tests/it/common/mod.rs
+++ b/crates/brassport-proxy/tests/it/common/mod.rs
@@ -29,7 +29,8 @@
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A protocol in which every response may be forwarded, unless the request has the header `forward-nothing`. The
-/// response header `once` forbids reusing the connection; `keep` announces its idle timeout in milliseconds.
+/// response header `once` forbids reusing the connection; `keep` announces its idle timeout in milliseconds; status 503
+/// states that the request has not run.
 pub struct TestProtocol;
 
 impl UpstreamProtocol for TestProtocol {
@@ -38,7 +39,11 @@
     }
 
     fn classify(&self, request: &HeaderMap, response: &Parts) -> ResponseClassification {
-        let outcome = if response.status == StatusCode::OK { Outcome::Ok } else { Outcome::Error };
+        let outcome = match response.status {
+            StatusCode::OK => Outcome::Ok,
+            StatusCode::SERVICE_UNAVAILABLE => Outcome::Overloaded,
+            _ => Outcome::Error,
+        };
         let timeout_ms = response
             .headers
             .get("keep")
@@ -46,7 +51,7 @@
         ResponseClassification {
             outcome,
             quota_used: None,
-            is_for_client: !request.contains_key("forward-nothing"),
+            is_for_client: outcome != Outcome::Overloaded && !request.contains_key("forward-nothing"),
             is_reusable: !response.headers.contains_key("once"),
             idle_timeout: timeout_ms.map(Duration::from_millis),
         }
@@ -168,7 +173,7 @@
     dispatcher
 }
 
-/// A dispatcher with two scripted backends.
+/// A dispatcher with scripted backends; two, unless stated otherwise.
 pub struct TestProxy {
     pub dispatcher: Rc<Dispatcher<SystemClock, Tcp>>,
     pub script: Rc<Script>,
@@ -180,12 +185,24 @@
 
 impl TestProxy {
     pub async fn new(retry_safety: RetrySafety, responses: &[&'static str]) -> TestProxy {
+        TestProxy::with_backends(2, retry_safety, responses).await
+    }
+
+    /// The same, with this many backends.
+    pub async fn with_backends(
+        count: usize,
+        retry_safety: RetrySafety,
+        responses: &[&'static str],
+    ) -> TestProxy {
         let script = Rc::new(Script { responses: RefCell::new(responses.to_vec()), ..Script::default() });
         let (written, ended_attempts) = (Rc::new(AttemptCount::default()), Rc::new(RefCell::new(Vec::new())));
         let (classes, plans) = (vec![class(retry_safety)], vec![Plan::default()]);
         let settings =
             Settings { classes, plans, max_attempts: 2, allow_cancel: true, ..Settings::default() };
-        let addresses = [script.clone().backend().await, script.clone().backend().await];
+        let mut addresses = Vec::new();
+        for _ in 0..count {
+            addresses.push(script.clone().backend().await);
+        }
         let ended = ended_attempts.clone();
         let on_attempt_end = move |customer| ended.borrow_mut().push(customer);
         let dispatcher = dispatcher_with_backends(&addresses, settings, written.clone(), on_attempt_end);
--- a/crates/brassport-proxy/tests/it/dispatch.rs
+++ b/crates/brassport-proxy/tests/it/dispatch.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const NOT_RUN: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nfault";
 
 #[tokio::test]
@@ -65,3 +66,16 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_surplus_rejection_on_the_connection_of_an_attempt_does_not_reject_its_retry() {
+    bounded(async {
+        let proxy = TestProxy::with_backends(1, RetrySafety::NonIdempotent, &[OK, NOT_RUN, OK, OK]).await;
+        assert_eq!(proxy.served().await, StatusCode::OK);
+        assert_eq!(proxy.served().await, StatusCode::OK);
+        assert_eq!(proxy.script.connections.get(), 2, "the retry must be sent on another connection");
+        assert_eq!(proxy.served().await, StatusCode::OK);
+        assert_eq!(proxy.script.connections.get(), 2, "another request may use the connection");
+    })
+    .await;
+}
