Distrust a response whose head contains a second status line

Callers saw 503 for non-idempotent requests that ran, some of them twice. A backend may break off a surplus response in the middle of its head; the response to the next request then continues that line, and the two are read as one response with the status of the first and the id of the second. A surplus 421 or 503 became the rejection of a request that ran.

The three cases of the new dispatcher test failed before. A head that runs into another contains its whole status line, in the reason phrase or in a header's value, as a name can't hold one; such an attempt may have run, and its connection is closed.

--- a/crates/brassport-proxy/src/upstream/attempt.rs
+++ b/crates/brassport-proxy/src/upstream/attempt.rs
@@ -200,6 +200,9 @@
         self.progress.connection.set(Some(pooled.id));
         self.target.used_connections.insert(pooled.id);
         let (head, body) = self.send(&mut pooled, request).await?.into_parts();
+        if response::contains_second_status_line(&head) {
+            return Err(AttemptFailure::Interrupted);
+        }
         let classification = self.pool.protocol.classify(&self.target.request.headers, &head);
         let (result, is_complete) = self.receive(&mut pooled, classification, head, body).await?;
         if is_complete {
--- a/crates/brassport-proxy/src/upstream/response.rs
+++ b/crates/brassport-proxy/src/upstream/response.rs
@@ -1,9 +1,11 @@
-//! Reads the body of a response: a short one is buffered, a long one is streamed to the client.
+//! Checks the head of a response and reads its body: a short one is buffered, a long one is streamed to the client.
 
 use super::connection::{ConnectionError, UpstreamConnection};
 use crate::body::{BodySender, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::clock::Clock;
 use hyper::body::{Body, Bytes, Incoming};
+use hyper::ext::ReasonPhrase;
+use hyper::http::response::Parts;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite};
 
@@ -13,6 +15,25 @@
 /// Maximum time without progress of a streamed response, on either side.
 const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Whether the head of a response contains the status line of another one. A backend may send the beginning of a surplus
+/// response and break it off; the first line of the next response then continues a line of the surplus head, and the
+/// result has the status of one response and the headers of the other.
+pub(super) fn contains_second_status_line(head: &Parts) -> bool {
+    let in_reason =
+        head.extensions.get::<ReasonPhrase>().is_some_and(|reason| has_status_line(reason.as_bytes()));
+    in_reason || head.headers.values().any(|value| has_status_line(value.as_bytes()))
+}
+
+/// Whether the text contains `HTTP/1.x` and a status code.
+fn has_status_line(text: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    const LENGTH: usize = b"HTTP/1.1 200".len();
+    text.windows(LENGTH).any(|line| {
+        let is_digit = |at: usize| line[at].is_ascii_digit();
+        line.starts_with(VERSION) && line[8] == b' ' && [7, 9, 10, 11].into_iter().all(is_digit)
+    })
+}
+
 /// Whether a response may be forwarded before it is complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ReceiveMode {
--- a/crates/brassport-proxy/tests/it/dispatch.rs
+++ b/crates/brassport-proxy/tests/it/dispatch.rs
@@ -6,6 +6,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::StatusCode;
 use std::time::Duration;
+use test_case::test_case;
 
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const NOT_RUN: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
@@ -79,3 +80,28 @@
     })
     .await;
 }
+
+#[test_case("HTTP/1.1 503 Service UnavHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; "in the status line")]
+#[test_case("HTTP/1.1 503 Busy\r\nNote: aHTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"; "in a header")]
+#[test_case("HTTP/1.1 200 OK\r\nNote: HTTP/1.1 500 Fault\r\nContent-Length: 0\r\n\r\n"; "behind a success")]
+#[tokio::test]
+async fn a_request_whose_response_continues_the_head_of_a_surplus_one_may_have_run(response: &'static str) {
+    bounded(async {
+        let proxy = TestProxy::new(RetrySafety::NonIdempotent, &[response, OK]).await;
+        assert!(matches!(proxy.request(HeaderMap::new()).await, RequestOutcome::Failed));
+        assert_eq!(proxy.written.0.get(), 1, "the request must not be retried");
+        proxy.script.connections_closed(1).await;
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_header_that_names_a_protocol_version_is_no_second_status_line() {
+    const VERSION: &str =
+        "HTTP/1.1 200 HTTP/1.1\r\nNote: HTTP/1.1 2x0, HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    bounded(async {
+        let proxy = TestProxy::new(RetrySafety::NonIdempotent, &[VERSION]).await;
+        assert_eq!(proxy.served().await, StatusCode::OK);
+    })
+    .await;
+}
