Treat an attempt as possibly run from its first byte, not from its last

Callers saw 503 for non-idempotent requests with long bodies that ran. A body that is streamed to the backend counted as a proof that the request had not run, for as long as its last byte was missing: a lost connection, a garbled response, a stalled upload or a cancellation was reported as NoConnection or NotSent, and the request was rejected. The protocol lets a backend begin, and respond, before it has read the body.

Only an attempt without a written byte counts as never run now, so the label incomplete_upload, added for the diagnosis, is gone again. An attempt whose upload is incomplete has an elapsed time of 0 in the statistics of its backend.

--- a/crates/brassport-data-plane/src/metrics.rs
+++ b/crates/brassport-data-plane/src/metrics.rs
@@ -67,11 +67,10 @@
 ];
 
 /// All evidence that an attempt cannot have run, with the metric labels.
-const EVIDENCE: [(NotRunEvidence, &str); 5] = [
+const EVIDENCE: [(NotRunEvidence, &str); 4] = [
     (NotRunEvidence::Skipped, "skipped"),
     (NotRunEvidence::NotConnected, "not_connected"),
     (NotRunEvidence::Unsent, "unsent"),
-    (NotRunEvidence::IncompleteUpload, "incomplete_upload"),
     (NotRunEvidence::Stated, "stated_by_backend"),
 ];
 
--- a/crates/brassport-data-plane/tests/it/metrics.rs
+++ b/crates/brassport-data-plane/tests/it/metrics.rs
@@ -32,13 +32,8 @@
     Outcome::NotSent,
 ];
 
-const EVIDENCE: [NotRunEvidence; 5] = [
-    NotRunEvidence::Skipped,
-    NotRunEvidence::NotConnected,
-    NotRunEvidence::Unsent,
-    NotRunEvidence::IncompleteUpload,
-    NotRunEvidence::Stated,
-];
+const EVIDENCE: [NotRunEvidence; 4] =
+    [NotRunEvidence::Skipped, NotRunEvidence::NotConnected, NotRunEvidence::Unsent, NotRunEvidence::Stated];
 
 const NO_POLICY_METRICS: GatewayMetrics = GatewayMetrics {
     servers: 0,
--- a/crates/brassport-proxy/src/dispatch/attempt.rs
+++ b/crates/brassport-proxy/src/dispatch/attempt.rs
@@ -116,8 +116,11 @@
     }
 
     /// The time in milliseconds from the last byte of the request to the complete response, or to the first bytes of a
-    /// streamed response.
+    /// streamed response; 0 if the request was not sent completely.
     fn elapsed(&self, sent_at: Millis, now: Millis, result: &AttemptResult) -> Millis {
+        if !self.message.is_complete() {
+            return 0.0;
+        }
         let clock = &self.dispatcher.clock;
         let sent_at = self.message.upload_completed_at().map_or(sent_at, |at| clock.millis(at));
         result.streaming_since.map_or(now, |since| clock.millis(since)) - sent_at
--- a/crates/brassport-proxy/src/protocol.rs
+++ b/crates/brassport-proxy/src/protocol.rs
@@ -52,8 +52,6 @@
     NotConnected,
     /// The connection was closed before the first byte of the request.
     Unsent,
-    /// The request was not complete when its connection was lost or its time was over.
-    IncompleteUpload,
     /// The backend's response states it.
     Stated,
 }
--- a/crates/brassport-proxy/src/upstream/attempt.rs
+++ b/crates/brassport-proxy/src/upstream/attempt.rs
@@ -79,9 +79,8 @@
     NotConnected,
     /// The connection was closed before the first byte.
     Unsent,
-    /// The connection was lost before the request was complete.
-    IncompleteUpload,
-    /// The connection was lost after the backend may have begun to run the request.
+    /// The connection was lost after the first byte: the backend may have begun to run the request, also if the request
+    /// was not complete.
     Interrupted,
 }
 
@@ -89,9 +88,7 @@
     fn outcome(self) -> Outcome {
         match self {
             AttemptFailure::Skipped => Outcome::NotSent,
-            AttemptFailure::NotConnected | AttemptFailure::Unsent | AttemptFailure::IncompleteUpload => {
-                Outcome::NoConnection
-            }
+            AttemptFailure::NotConnected | AttemptFailure::Unsent => Outcome::NoConnection,
             AttemptFailure::Interrupted => reset(),
         }
     }
@@ -101,7 +98,6 @@
             AttemptFailure::Skipped => Some(NotRunEvidence::Skipped),
             AttemptFailure::NotConnected => Some(NotRunEvidence::NotConnected),
             AttemptFailure::Unsent => Some(NotRunEvidence::Unsent),
-            AttemptFailure::IncompleteUpload => Some(NotRunEvidence::IncompleteUpload),
             AttemptFailure::Interrupted => None,
         }
     }
@@ -147,7 +143,7 @@
         if mutant!(KeepTimedOutAttempt) && ended == Outcome::TimedOut {
             std::mem::forget(running);
         }
-        progress.traced(progress.interrupted(ended, request))
+        progress.traced(progress.interrupted(ended))
     }
 }
 
@@ -164,12 +160,11 @@
 
 impl Progress {
     /// The result of an attempt that was cancelled or timed out.
-    fn interrupted(&self, ended: Outcome, request: &UpstreamRequest) -> AttemptResult {
-        match (self.is_written.get(), request.is_complete(), ended) {
-            (true, true, ended) => AttemptResult::new(ended, None),
-            (_, _, Outcome::Cancelled) => AttemptFailure::Skipped.into(),
-            (true, false, _) => AttemptFailure::IncompleteUpload.into(),
-            (false, _, _) => AttemptFailure::NotConnected.into(),
+    fn interrupted(&self, ended: Outcome) -> AttemptResult {
+        match ended {
+            _ if self.is_written.get() => AttemptResult::new(ended, None),
+            Outcome::Cancelled => AttemptFailure::Skipped.into(),
+            _ => AttemptFailure::NotConnected.into(),
         }
     }
 
@@ -258,9 +253,6 @@
         }
         sent.map_err(|error| match error {
             ConnectionError::Unsent => AttemptFailure::Unsent,
-            ConnectionError::Interrupted if !self.target.request.is_complete() => {
-                AttemptFailure::IncompleteUpload
-            }
             ConnectionError::Interrupted => AttemptFailure::Interrupted,
         })
     }
--- a/crates/brassport-proxy/src/upstream/request.rs
+++ b/crates/brassport-proxy/src/upstream/request.rs
@@ -43,7 +43,7 @@
 }
 
 impl UpstreamRequest {
-    /// Whether the body is buffered or has been forwarded completely. Before that, no backend can have run the request.
+    /// Whether the body is buffered or has been forwarded completely. A backend may begin to run the request before that.
     pub fn is_complete(&self) -> bool {
         match &self.body {
             RequestBody::Complete(_) => true,
--- a/crates/brassport-proxy/tests/it/common/mod.rs
+++ b/crates/brassport-proxy/tests/it/common/mod.rs
@@ -3,20 +3,23 @@
 use brassport_policy::{
     Class, Event, Lifecycle, ListKind, Outcome, Plan, Request, RetrySafety, ServerEntry, Settings,
 };
+use brassport_proxy::body::{BodyError, ProxiedBody, UpstreamBody};
 use brassport_proxy::clock::SystemClock;
 use brassport_proxy::dispatch::{Dispatcher, DispatcherOptions, PendingRequest, RequestOutcome};
 use brassport_proxy::network::Tcp;
 use brassport_proxy::protocol::{AttemptEvent, AttemptObserver, ResponseClassification, UpstreamProtocol};
-use brassport_proxy::upstream::{RequestBody, UpstreamPool, UpstreamRequest};
-use hyper::body::Bytes;
+use brassport_proxy::upstream::{RequestBody, StreamingUpload, UpstreamPool, UpstreamRequest};
+use hyper::body::{Body, Bytes, Frame};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, StatusCode, Uri};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -211,9 +214,22 @@
 
     /// Admits a request. Dropping the returned value simulates a client that disconnects.
     pub fn admit(&self, headers: HeaderMap) -> PendingRequest<SystemClock, Tcp> {
-        let (method, uri, body) =
-            (Method::POST, Uri::from_static("/job"), RequestBody::Complete(Bytes::new()));
-        let message = UpstreamRequest { method, uri, headers, body };
+        self.admit_with(headers, RequestBody::Complete(Bytes::new()))
+    }
+
+    /// Admits a request whose client never sends the end of its body.
+    pub fn admit_incomplete(&self) -> PendingRequest<SystemClock, Tcp> {
+        let body: UpstreamBody = ProxiedBody::Streaming(Box::pin(StalledBody(Some(Bytes::from("first")))));
+        let upload = StreamingUpload {
+            body: RefCell::new(Some(body)),
+            progress: Rc::default(),
+            client_timeout: CLIENT_TIMEOUT,
+        };
+        self.admit_with(HeaderMap::new(), RequestBody::Streaming(upload))
+    }
+
+    fn admit_with(&self, headers: HeaderMap, body: RequestBody) -> PendingRequest<SystemClock, Tcp> {
+        let message = UpstreamRequest { method: Method::POST, uri: Uri::from_static("/job"), headers, body };
         let id = self.dispatcher.generate_id();
         let pending = self.dispatcher.admit(policy_request(), id, message, CLIENT_TIMEOUT);
         pending.expect("a unique name")
@@ -234,6 +250,21 @@
     }
 }
 
+/// A body that has a first chunk and never ends.
+struct StalledBody(Option<Bytes>);
+
+impl Body for StalledBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.0.take().map_or(Poll::Pending, |first| Poll::Ready(Some(Ok(Frame::data(first)))))
+    }
+}
+
 /// Runs a test with a timeout.
 pub async fn bounded(test: impl Future<Output = ()>) {
     let test = tokio::time::timeout(TEST_TIMEOUT, test);
--- a/crates/brassport-proxy/tests/it/dispatch.rs
+++ b/crates/brassport-proxy/tests/it/dispatch.rs
@@ -105,3 +105,14 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_request_whose_connection_is_lost_during_its_upload_may_have_run() {
+    const NO_RESPONSE: &str = "no response\r\n\r\n";
+    bounded(async {
+        let proxy = TestProxy::new(RetrySafety::NonIdempotent, &[NO_RESPONSE]).await;
+        assert!(matches!(proxy.admit_incomplete().outcome().await, RequestOutcome::Failed));
+        assert_eq!(proxy.script.heads.borrow().len(), 1, "the upload must not be retried");
+    })
+    .await;
+}
--- a/crates/brassport-testbed/src/faulty_backend.rs
+++ b/crates/brassport-testbed/src/faulty_backend.rs
@@ -135,6 +135,11 @@
         )
     }
 
+    /// Whether the request may remain without a run: if it is rejected, and is not retried.
+    pub fn is_rejection(self) -> bool {
+        self.rejects_first_attempt() || self == Fault::RejectionTruncated
+    }
+
     /// Whether the first attempt is rejected, and the second one runs.
     fn rejects_first_attempt(self) -> bool {
         matches!(
