--- a/crates/brassport-control-plane/tests/it/main.rs
+++ b/crates/brassport-control-plane/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod sim;
 
 mod catch_up;
+mod closing_faults;
 mod configuration_latency;
 mod fault_tolerance;
 mod golden;
