Soak: add faulty backends, and clients whose requests name a fault

The soak had healthy backends only, so no overlap of faults could show a refused request that ran. Two of the services get one faulty backend more, and four clients send non-idempotent requests with random faults.

--- a/crates/brassport-testbed/src/clients.rs
+++ b/crates/brassport-testbed/src/clients.rs
@@ -1,7 +1,8 @@
 //! Clients, and the platform that leads them to nodes.
 
 use crate::configuration::HOST;
-use crate::header::{SERVER_SEAL, TIME_LEFT, TRY_ID, WORK_MS};
+use crate::faulty_backend::Fault;
+use crate::header::{FAULT, SERVER_SEAL, TIME_LEFT, TRY_ID, WORK_MS};
 use crate::history::{Attempt, AttemptOutcome, CompletedRequest, Recorder, RequestOutcome};
 use crate::http::{self, Answer, Connection, Failure};
 use crate::site::is_ready;
@@ -22,6 +23,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a response to an idempotent attempt is waited for.
 const IDEMPOTENT_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Length of a body that the gateway forwards while it receives it, in bytes.
+const LONG_BODY: usize = 200_000;
 /// Attempts of a request at most.
 const MAX_ATTEMPTS: usize = 5;
 
@@ -104,6 +107,8 @@
     pub work: Option<Duration>,
     /// When the client leaves, if it does not wait.
     pub leaves_after: Option<Duration>,
+    /// What a faulty backend does with it; others ignore this.
+    pub fault: Fault,
 }
 
 impl RequestSpec {
@@ -115,6 +120,7 @@
             is_due: false,
             work: None,
             leaves_after: None,
+            fault: Fault::None,
         }
     }
 
@@ -152,6 +158,12 @@
         RequestSpec { leaves_after: Some(after), ..self }
     }
 
+    /// A faulty backend does this with it.
+    #[must_use]
+    pub fn with_fault(self, fault: Fault) -> RequestSpec {
+        RequestSpec { fault, ..self }
+    }
+
     /// How long a response to one attempt is waited for, of the time that is left.
     fn response_timeout(&self, left: Duration) -> Duration {
         let limit = if self.is_safe {
@@ -164,10 +176,10 @@
 
     /// Method and body of the attempt with this id.
     fn method_and_body(&self, id: &str) -> (&'static str, Vec<u8>) {
-        if self.is_safe {
-            ("GET", Vec::new())
-        } else {
-            ("POST", format!("order {id}").into_bytes())
+        match self {
+            RequestSpec { is_safe: true, .. } => ("GET", Vec::new()),
+            RequestSpec { fault, .. } if fault.is_early() => ("POST", vec![b'x'; LONG_BODY]),
+            _ => ("POST", format!("order {id}").into_bytes()),
         }
     }
 }
@@ -290,6 +302,8 @@
     let mut headers = vec![(TRY_ID, id), (TIME_LEFT, time_left.as_str())];
     headers.extend(bearer.as_deref().map(|bearer| ("authorization", bearer)));
     headers.extend(work.as_deref().map(|work| (WORK_MS, work)));
+    let fault = spec.fault.name();
+    headers.extend((spec.fault != Fault::None).then_some((FAULT, &*fault)));
     http::request(method, path, HOST, &headers, body)
 }
 
--- a/crates/brassport-testbed/src/load.rs
+++ b/crates/brassport-testbed/src/load.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::{run_client, Client, Platform, RequestSpec};
 use crate::configuration::Plan;
+use crate::faulty_backend::Fault;
 use crate::history::Recorder;
 use crate::site::Site;
 use std::cell::{Cell, RefCell};
@@ -42,6 +43,19 @@
     load.tasks
 }
 
+/// Starts clients whose requests a faulty backend answers with faults; they end once `stop` is true.
+pub fn faulty_clients(
+    site: &Site,
+    platform: &Rc<Platform>,
+    recorder: &Rc<Recorder>,
+    plan: &Rc<RefCell<Plan>>,
+    stop: &Rc<Cell<bool>>,
+) -> Vec<JoinHandle<()>> {
+    let mut load = Load { site, platform, recorder, plan, stop, tasks: Vec::new() };
+    load.requests_with_faults();
+    load.tasks
+}
+
 impl Load<'_> {
     /// Adds a client with so many requests per second, at one node only or where the platform leads it.
     fn add(
@@ -113,6 +127,18 @@
         self.add(4.0, None, move |_| Some(rejected.clone()));
     }
 
+    /// Each request names a fault at random.
+    fn requests_with_faults(&mut self) {
+        let spec = RequestSpec::non_idempotent("/orders/").with_key(self.key("elm"));
+        for _ in 0..4 {
+            let spec = spec.clone();
+            self.add(8.0, None, move |point| {
+                let fault = Fault::ALL[point as usize % Fault::ALL.len()];
+                Some(spec.clone().with_fault(fault))
+            });
+        }
+    }
+
     /// Directly at each node that receives clients.
     fn newest_route_at_each_node(&mut self) {
         for node in 0..self.site.nodes.len() {
--- a/crates/brassport-testbed/tests/it/soak.rs
+++ b/crates/brassport-testbed/tests/it/soak.rs
@@ -1,6 +1,7 @@
 //! Seeded soaks over real processes: clients keep their connections for as long as their nodes run, some leave in the
-//! middle; nodes are shut down, killed, suspended and sent SIGHUP, in series that overlap; backends come, leave and crash;
-//! the configuration changes in bursts. What everybody saw is judged by the rules.
+//! middle; nodes are shut down, killed, suspended and sent SIGHUP, in series that overlap; backends come, leave and crash,
+//! and some misbehave as the protocol allows; the configuration changes in bursts. What
+//! everybody saw is judged by the rules.
 //!
 //! `TESTBED_SOAKS=50 TESTBED_FIRST=1 TESTBED_DOORS=5 cargo test --release -p brassport-testbed --test it soak:: -- --nocapture`
 
@@ -10,11 +11,12 @@
 use brassport_testbed::backend::Backend;
 use brassport_testbed::clients::Platform;
 use brassport_testbed::configuration::{Plan, SERVICES};
+use brassport_testbed::faulty_backend::FaultyBackend;
 use brassport_testbed::history::Recorder;
-use brassport_testbed::load::clients;
+use brassport_testbed::load::{clients, faulty_clients};
 use brassport_testbed::operator::Operator;
 use brassport_testbed::play::{backend, backends, block_on};
-use brassport_testbed::site::{Layout, Site, GRACE_PERIOD};
+use brassport_testbed::site::{zone, Layout, Site, GRACE_PERIOD};
 use oorandom::Rand64;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -32,6 +34,8 @@
 /// How long something new is begun, and the calm behind the last of it, in seconds.
 const FAULTS_S: f64 = 10.0;
 const CALM_S: f64 = 5.0;
+/// The services that orders go to have one faulty backend more.
+const FAULTY_SERVICES: [&str; 2] = ["cedar", "birch"];
 /// Between two checks of what is due.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -76,6 +80,8 @@
     site: Site,
     recorder: Rc<Recorder>,
     backends: Vec<Backend>,
+    // Dropped, they crash.
+    _faulty: Vec<FaultyBackend>,
     draining: Vec<JoinHandle<bool>>,
     states: Vec<NodeState>,
     /// Steps by the milliseconds of the recorder's clock.
@@ -277,6 +283,11 @@
     site.start_all().expect("the doors start");
     let backends = backends(&site, &recorder).await.expect("backends listen");
     assert_eq!(backends.len() % SERVICES.len(), 0, "as many of each service");
+    let mut faulty = Vec::new();
+    for service in FAULTY_SERVICES {
+        let backend = FaultyBackend::start(service, zone(1), site.controls(), recorder.clone()).await;
+        faulty.push(backend.expect("it listens"));
+    }
     let mut operator = Operator::new(site.controls(), recorder.clone());
     let response = operator.put(Plan::first(1), STARTUP_TIMEOUT).await;
     let is_acknowledged = response.is_some_and(|response| response.status == 200);
@@ -289,6 +300,7 @@
         site,
         recorder,
         backends,
+        _faulty: faulty,
         draining: Vec::new(),
         states: vec![NodeState::Runs; nodes],
         agenda: BTreeMap::new(),
@@ -307,7 +319,8 @@
     let platform = Platform::watch(&watched);
     let plan = Rc::new(RefCell::new(operator.plan.clone().expect("the first was acknowledged")));
     let stop = Rc::new(Cell::new(false));
-    let tasks = clients(&soak.site, &platform, &recorder, &plan, &stop);
+    let mut tasks = clients(&soak.site, &platform, &recorder, &plan, &stop);
+    tasks.extend(faulty_clients(&soak.site, &platform, &recorder, &plan, &stop));
     let operating = spawn_local(operate(operator, plan.clone(), stop.clone(), seed));
     soak.run().await;
     sleep(Duration::from_secs_f64(CALM_S)).await;
