Read the settings file again if it is incomplete when a node starts

Operators saw a node end by itself: the settings file may be rewritten at any time, and a process that starts in that moment found it empty and exited.

An invalid file is now read again for up to 1 s; a file that stays invalid ends the process as before. The new test failed before: the node exited.

--- a/crates/brassport-gateway/src/command/subcommands.rs
+++ b/crates/brassport-gateway/src/command/subcommands.rs
@@ -24,7 +24,7 @@
 pub(super) fn run(metrics_port: Option<u16>) -> miette::Result<()> {
     logging::init()?;
     let file = file_from_environment()?;
-    let settings = Settings::read(&file)?;
+    let settings = Settings::read_at_start(&file)?;
     Ok(node::run(node::Options { settings, settings_file: file, metrics_port })?)
 }
 
--- a/crates/brassport-gateway/src/settings/mod.rs
+++ b/crates/brassport-gateway/src/settings/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 
 /// The environment variable that contains the path of the settings file.
 pub const FILE_VARIABLE: &str = "BRASSPORT_CONFIG";
@@ -54,6 +55,11 @@
     pub address_overrides: BTreeMap<Ipv4Addr, Ipv4Addr>,
 }
 
+/// How long a starting process waits for a valid settings file.
+const REWRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The interval between two attempts to read the settings file.
+const REREAD_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The addresses that a node listens on. A listener without an address is not opened.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -76,6 +82,21 @@
         Settings::parse(&text).map_err(error)
     }
 
+    /// Reads and validates the settings file of a process that starts. The file may be rewritten at that moment, so an
+    /// invalid one is read again for up to 1 s.
+    ///
+    /// # Errors
+    /// As [`Settings::read`], of the last attempt.
+    pub fn read_at_start(file: &Path) -> Result<Settings, SettingsError> {
+        let deadline = Instant::now() + REWRITE_TIMEOUT;
+        loop {
+            match Settings::read(file) {
+                Err(_) if Instant::now() < deadline => std::thread::sleep(REREAD_INTERVAL),
+                result => return result,
+            }
+        }
+    }
+
     /// Parses and validates the text of a settings file.
     ///
     /// # Errors
--- a/crates/brassport-gateway/tests/it/process.rs
+++ b/crates/brassport-gateway/tests/it/process.rs
@@ -28,25 +28,38 @@
     Ipv4Addr::new(127, 100 + high % 100, low.max(1), last)
 }
 
-/// Starts a node with the shortest grace period, and waits until its readiness listener accepts connections.
+/// The settings of a node with the shortest grace period.
+fn settings(ip: Ipv4Addr) -> String {
+    format!(
+        "node: n1\nip: {ip}\nzone: a\nlistenOn: {{ready: '{ip}:8081'}}\ninternalPorts: [9001]\nbounds: [graceS=0.5]\n"
+    )
+}
+
+/// Starts a node, and waits until its readiness listener accepts connections.
 fn start(ip: Ipv4Addr, environment: &[(&str, &str)]) -> Node {
+    let node = spawn(ip, &settings(ip), environment);
+    wait_until_ready(ip);
+    node
+}
+
+/// Starts a node with a settings file of this text.
+fn spawn(ip: Ipv4Addr, settings: &str, environment: &[(&str, &str)]) -> Node {
     let folder = std::env::temp_dir().join(format!("brassport-gateway-run-{ip}"));
     std::fs::create_dir_all(&folder).expect("the folder is created");
     let file = folder.join("settings.yaml");
-    let settings = format!(
-        "node: n1\nip: {ip}\nzone: a\nlistenOn: {{ready: '{ip}:8081'}}\ninternalPorts: [9001]\nbounds: [graceS=0.5]\n"
-    );
     std::fs::write(&file, settings).expect("the settings are written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_brassport-gateway"));
     command.arg("run").env_remove("BRASSPORT_GATEWAY_LOG").env_remove("JUNCTION_LOG");
     command.env("BRASSPORT_CONFIG", &file).envs(environment.iter().copied()).stderr(Stdio::piped());
-    let node = Node { child: command.spawn().expect("the gateway starts"), folder };
+    Node { child: command.spawn().expect("the gateway starts"), folder }
+}
+
+fn wait_until_ready(ip: Ipv4Addr) {
     let (ready, deadline) = (SocketAddrV4::new(ip, 8081), Instant::now() + Duration::from_secs(10));
     while TcpStream::connect(ready).is_err() {
         assert!(Instant::now() < deadline, "the readiness listener at {ready} did not open within 10 s");
         std::thread::sleep(Duration::from_millis(20));
     }
-    node
 }
 
 /// Sends SIGTERM, waits until the node exits, and returns its log.
@@ -79,3 +92,14 @@
     let both = [("JUNCTION_LOG", "error"), ("BRASSPORT_GATEWAY_LOG", "info")];
     assert!(terminate(start(address(3), &both)).contains("INFO node started"));
 }
+
+#[test]
+fn a_node_starts_while_its_settings_file_is_being_rewritten() {
+    let ip = address(4);
+    let mut node = spawn(ip, "", &[]);
+    std::thread::sleep(Duration::from_millis(200));
+    assert!(node.child.try_wait().expect("the process is known").is_none(), "the node exited");
+    std::fs::write(node.folder.join("settings.yaml"), settings(ip)).expect("the settings are written");
+    wait_until_ready(ip);
+    terminate(node);
+}
