Appliance test: kill after a drawn number of acknowledged changes

The test kills the appliance at 200 drawn moments and asks for more than 200 changes in all, so that the kills hit changes. The moments were drawn in time alone, up to 20 ms after the start; beside builds the disk is so slow that 41 to 166 changes were made, and the test failed although nothing acknowledged was lost. Each kill now waits for 0 to 3 acknowledged changes, drawn from the same seed, and then for the same drawn time. Seed, number of kills, checks and the bound stay.

--- a/crates/brassport-appliance/tests/appliance.rs
+++ b/crates/brassport-appliance/tests/appliance.rs
@@ -238,6 +238,7 @@
         let mut console = site.connect();
         let (acknowledged, answers) = channel();
         let first = number;
+        let awaited = random.rand_range(0..4) as usize;
         let draws: Vec<u64> = (0..200).map(|_| random.rand_range(0..4)).collect();
         let changes: Vec<Change> =
             (first..).zip(&draws).map(|(number, draw)| draw_change(number, *draw)).collect();
@@ -253,10 +254,11 @@
                 }
             }
         });
+        let answered: Vec<bool> = answers.iter().take(awaited).collect();
         thread::sleep(Duration::from_micros(random.rand_range(0..20_000)));
         site.kill();
         asking.join().expect("it ends with the connection");
-        let answers: Vec<bool> = answers.iter().collect();
+        let answers: Vec<bool> = answered.into_iter().chain(answers.iter()).collect();
         let after = |model: &State, change: &Change| model.after(change).unwrap_or_else(|_| model.clone());
         for (change, made) in changes.iter().zip(&answers) {
             let next = model.after(change);
