Report a request as unsent only if the connection has written none of its bytes

That a request was not sent rested on the HTTP library, which returns a request that it has not begun to write. The connection now counts the bytes that its socket took: a request is unsent if and only if that count has not grown.

--- a/crates/brassport-proxy/src/upstream/connection.rs
+++ b/crates/brassport-proxy/src/upstream/connection.rs
@@ -49,19 +49,30 @@
     sender: SendRequest<UpstreamBody>,
     /// `None` after the connection has ended.
     driver: Option<Driver<S>>,
+    writes: Rc<WriteProgress>,
+}
+
+/// What was written to a stream.
+#[derive(Debug, Default)]
+struct WriteProgress {
     /// Whether the last write is blocked because the peer's receive buffer is full.
-    has_unwritten: Rc<Cell<bool>>,
+    is_blocked: Cell<bool>,
+    /// Number of bytes written since the stream was established.
+    bytes: Cell<u64>,
 }
 
-/// A stream that records whether its last write is blocked.
+/// A stream that records its writes.
 struct TrackedStream<S> {
     stream: S,
-    has_unwritten: Rc<Cell<bool>>,
+    writes: Rc<WriteProgress>,
 }
 
 impl<S: AsyncWrite + Unpin> TrackedStream<S> {
     fn record(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        self.has_unwritten.set(written.is_pending());
+        self.writes.is_blocked.set(written.is_pending());
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.writes.bytes.set(self.writes.bytes.get() + bytes as u64);
+        }
         written
     }
 }
@@ -117,10 +128,10 @@
         // Limits the memory used by an endless head.
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
-        let has_unwritten = Rc::new(Cell::new(false));
-        let tracked = TrackedStream { stream, has_unwritten: has_unwritten.clone() };
+        let writes = Rc::new(WriteProgress::default());
+        let tracked = TrackedStream { stream, writes: writes.clone() };
         let (sender, driver) = builder.handshake(TokioIo::new(tracked)).await.map_err(io::Error::other)?;
-        Ok(UpstreamConnection { sender, driver: Some(driver), has_unwritten })
+        Ok(UpstreamConnection { sender, driver: Some(driver), writes })
     }
 
     /// Sends one request and waits for its complete response, whose body may have at most `max_bytes`.
@@ -165,13 +176,12 @@
         &mut self,
         request: Request<impl Into<UpstreamBody>>,
     ) -> Result<Response<Incoming>, ConnectionError> {
-        let UpstreamConnection { sender, driver, .. } = self;
-        let request = request.map(Into::into);
-        // hyper returns the request in the error only if it has not begun to write it.
-        let response = sender.try_send_request(request);
-        drive(driver, response).await.map_err(|mut error| match error.take_message() {
-            Some(_) => ConnectionError::Unsent,
-            None => ConnectionError::Interrupted,
+        let UpstreamConnection { sender, driver, writes } = self;
+        let written_before = writes.bytes.get();
+        let response = sender.try_send_request(request.map(Into::into));
+        drive(driver, response).await.map_err(|_| match writes.bytes.get() == written_before {
+            true => ConnectionError::Unsent,
+            false => ConnectionError::Interrupted,
         })
     }
 
@@ -222,7 +232,7 @@
             Poll::Ready(())
         })
         .await;
-        self.driver.is_some() && self.sender.is_ready() && !self.has_unwritten.get()
+        self.driver.is_some() && self.sender.is_ready() && !self.writes.is_blocked.get()
     }
 }
 
--- a/crates/brassport-proxy/tests/it/upstream_connection.rs
+++ b/crates/brassport-proxy/tests/it/upstream_connection.rs
@@ -10,6 +10,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use test_case::test_case;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// One action of a backend on its side of the connection. After the last step, the backend sends nothing.
@@ -187,3 +188,37 @@
         assert_eq!(connection.exchange(request(3), 100).await.unwrap_err(), ConnectionError::Unsent);
     });
 }
+
+/// A socket that takes this many bytes and then fails to write. It receives nothing.
+struct FailingSocket {
+    bytes_left: usize,
+}
+
+impl AsyncRead for FailingSocket {
+    fn poll_read(self: Pin<&mut Self>, _: &mut Context<'_>, _: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Poll::Pending
+    }
+}
+
+impl AsyncWrite for FailingSocket {
+    fn poll_write(mut self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let taken = bytes.len().min(self.bytes_left);
+        self.bytes_left -= taken;
+        Poll::Ready(if taken > 0 { Ok(taken) } else { Err(io::ErrorKind::BrokenPipe.into()) })
+    }
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+#[test_case(0 => ConnectionError::Unsent; "no byte was written")]
+#[test_case(1 => ConnectionError::Interrupted; "one byte was written")]
+fn a_request_whose_write_fails_is_unsent_only_before_its_first_byte(bytes_left: usize) -> ConnectionError {
+    run(async {
+        let mut connection = UpstreamConnection::handshake(FailingSocket { bytes_left }).await.unwrap();
+        connection.exchange(request(3), 100).await.unwrap_err()
+    })
+}
