Handle signals before the settings file is read

Operators saw a node end by itself, with no line in its log: a SIGHUP that arrives before its handler is installed ends the process, and a start that waited for a complete settings file made that time longer.

That it was the signal is inferred from the missing line; the test shows that the process ends so: it starts with an empty settings file, gets SIGHUP, then the complete file, and failed before. The runtime and the handlers come first now, and the settings are read after them. Between exec and the handlers some milliseconds remain.

--- a/crates/brassport-gateway/src/command/subcommands.rs
+++ b/crates/brassport-gateway/src/command/subcommands.rs
@@ -23,9 +23,7 @@
 /// `run`: runs a node until SIGTERM has shut it down.
 pub(super) fn run(metrics_port: Option<u16>) -> miette::Result<()> {
     logging::init()?;
-    let file = file_from_environment()?;
-    let settings = Settings::read_at_start(&file)?;
-    Ok(node::run(node::Options { settings, settings_file: file, metrics_port })?)
+    Ok(node::run(node::Options { settings_file: file_from_environment()?, metrics_port })?)
 }
 
 /// `check`: validates a settings file, by default the one that the environment names.
--- a/crates/brassport-gateway/src/node/build.rs
+++ b/crates/brassport-gateway/src/node/build.rs
@@ -38,9 +38,12 @@
 
 impl Node {
     /// Builds a node. Its listeners are opened last, so that a node that fails to start accepts no connections.
-    pub(super) async fn build(options: Options) -> Result<Node, StartError> {
-        let Options { settings, settings_file, metrics_port } = options;
-        let signals = Signals::install()?;
+    pub(super) async fn build(
+        options: Options,
+        settings: Settings,
+        signals: Signals,
+    ) -> Result<Node, StartError> {
+        let Options { settings_file, metrics_port } = options;
         let start = Instant::now();
         let identity = Identity::random();
         let (inbound, frames) = mpsc::unbounded_channel();
--- a/crates/brassport-gateway/src/node/error.rs
+++ b/crates/brassport-gateway/src/node/error.rs
@@ -1,5 +1,6 @@
 //! Errors of starting a node.
 
+use crate::settings::SettingsError;
 use std::fmt;
 use std::io;
 
@@ -57,6 +58,47 @@
     }
 }
 
+/// Running a node failed before it served.
+#[derive(Debug, miette::Diagnostic)]
+pub enum RunError {
+    /// The settings file cannot be read, or is invalid.
+    #[diagnostic(transparent)]
+    Settings(SettingsError),
+    /// The node failed to start.
+    #[diagnostic(transparent)]
+    Start(StartError),
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RunError::Settings(error) => error.fmt(f),
+            RunError::Start(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for RunError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            RunError::Settings(error) => error.source(),
+            RunError::Start(error) => error.source(),
+        }
+    }
+}
+
+impl From<SettingsError> for RunError {
+    fn from(error: SettingsError) -> RunError {
+        RunError::Settings(error)
+    }
+}
+
+impl From<StartError> for RunError {
+    fn from(error: StartError) -> RunError {
+        RunError::Start(error)
+    }
+}
+
 impl StartStep {
     /// Returns a function for `map_err` that reports a failure of this step.
     pub(super) fn failed(self) -> impl FnOnce(io::Error) -> StartError {
--- a/crates/brassport-gateway/src/node/mod.rs
+++ b/crates/brassport-gateway/src/node/mod.rs
@@ -7,7 +7,7 @@
 mod inputs;
 pub mod shutdown;
 
-pub use error::{StartError, StartStep};
+pub use error::{RunError, StartError, StartStep};
 
 use crate::settings::Settings;
 use crate::store_thread::StoreEvent;
@@ -17,7 +17,7 @@
 use brassport_proxy::network::Tcp;
 use brassport_proxy::shutdown::{Phase, Shutdown};
 use control_host::ControlHost;
-use inputs::{Input, Inputs};
+use inputs::{Input, Inputs, Signals};
 use shutdown::{GracefulShutdown, Progress, Step, FINAL_RESPONSE_TIME};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -31,9 +31,7 @@
 /// The options for starting a node.
 #[derive(Debug)]
 pub struct Options {
-    /// The settings read at startup.
-    pub settings: Settings,
-    /// The file of the settings. It is read again while the node runs.
+    /// The file of the settings. It is read at startup, and again while the node runs.
     pub settings_file: PathBuf,
     /// The port of the metrics listener at the node's own address; `None` opens no such listener.
     pub metrics_port: Option<u16>,
@@ -42,14 +40,17 @@
 /// Runs a node on the current thread, and returns after the graceful shutdown that SIGTERM starts.
 ///
 /// # Errors
-/// The node cannot be started.
-pub fn run(options: Options) -> Result<(), StartError> {
+/// The settings are invalid, or the node cannot be started.
+pub fn run(options: Options) -> Result<(), RunError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| StartError { step: StartStep::Runtime, error })?;
     LocalSet::new().block_on(&runtime, async {
-        Node::build(options).await?.run().await;
+        // Before the settings are read: without a handler, a SIGHUP would end the process.
+        let signals = Signals::install()?;
+        let settings = Settings::read_at_start(&options.settings_file).await?;
+        Node::build(options, settings, signals).await?.run().await;
         Ok(())
     })
 }
--- a/crates/brassport-gateway/src/settings/mod.rs
+++ b/crates/brassport-gateway/src/settings/mod.rs
@@ -87,11 +87,11 @@
     ///
     /// # Errors
     /// As [`Settings::read`], of the last attempt.
-    pub fn read_at_start(file: &Path) -> Result<Settings, SettingsError> {
+    pub async fn read_at_start(file: &Path) -> Result<Settings, SettingsError> {
         let deadline = Instant::now() + REWRITE_TIMEOUT;
         loop {
             match Settings::read(file) {
-                Err(_) if Instant::now() < deadline => std::thread::sleep(REREAD_INTERVAL),
+                Err(_) if Instant::now() < deadline => tokio::time::sleep(REREAD_INTERVAL).await,
                 result => return result,
             }
         }
--- a/crates/brassport-gateway/tests/it/process.rs
+++ b/crates/brassport-gateway/tests/it/process.rs
@@ -62,11 +62,15 @@
     }
 }
 
+fn send_signal(node: &Node, signal: &str) {
+    let id = node.child.id().to_string();
+    let sent = Command::new("kill").args([signal, &id]).status().expect("kill runs");
+    assert!(sent.success(), "kill failed to send {signal}");
+}
+
 /// Sends SIGTERM, waits until the node exits, and returns its log.
 fn terminate(mut node: Node) -> String {
-    let id = node.child.id().to_string();
-    let sent = Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
-    assert!(sent.success(), "kill failed to send SIGTERM");
+    send_signal(&node, "-TERM");
     let mut log = String::new();
     node.child.stderr.take().expect("stderr is piped").read_to_string(&mut log).expect("the log is UTF-8");
     let status = node.child.wait().expect("the exit status is read");
@@ -94,10 +98,12 @@
 }
 
 #[test]
-fn a_node_starts_while_its_settings_file_is_being_rewritten() {
+fn a_node_that_starts_while_its_settings_file_is_rewritten_survives_a_hangup() {
     let ip = address(4);
     let mut node = spawn(ip, "", &[]);
     std::thread::sleep(Duration::from_millis(200));
+    send_signal(&node, "-HUP");
+    std::thread::sleep(Duration::from_millis(100));
     assert!(node.child.try_wait().expect("the process is known").is_none(), "the node exited");
     std::fs::write(node.folder.join("settings.yaml"), settings(ip)).expect("the settings are written");
     wait_until_ready(ip);
