Testbed: faults in a file of their own, and how a node ended in a soak's finding

The faults of the faulty backend move to a file of their own and derive their names and their list (strum).

--- a/crates/brassport-testbed/src/clients.rs
+++ b/crates/brassport-testbed/src/clients.rs
@@ -302,8 +302,7 @@
     let mut headers = vec![(TRY_ID, id), (TIME_LEFT, time_left.as_str())];
     headers.extend(bearer.as_deref().map(|bearer| ("authorization", bearer)));
     headers.extend(work.as_deref().map(|work| (WORK_MS, work)));
-    let fault = spec.fault.name();
-    headers.extend((spec.fault != Fault::None).then_some((FAULT, &*fault)));
+    headers.extend((spec.fault != Fault::None).then_some((FAULT, spec.fault.name())));
     http::request(method, path, HOST, &headers, body)
 }
 
--- a/crates/brassport-testbed/src/faulty_backend/mod.rs
+++ b/crates/brassport-testbed/src/faulty_backend/mod.rs
@@ -4,6 +4,10 @@
 //! It writes its responses to the socket itself, as a library would not write most of them. A response states that the
 //! request has not run only if it has not: what the backend runs it records as a [`Run`].
 
+mod fault;
+
+pub use fault::Fault;
+
 use crate::header::{CUSTOMER, FAULT, NOT_RUN, SERVER_ID, SERVER_SEAL, TRY_ID};
 use crate::heartbeat::{Heartbeats, Registration};
 use crate::history::{Recorder, Run};
@@ -26,132 +30,6 @@
 /// How long a silent backend keeps its connection open.
 const SILENCE: Duration = Duration::from_secs(4);
 
-/// What the backend does with a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Fault {
-    /// Runs it and responds.
-    None,
-    /// Rejects the first attempt and sends a copy of the rejection right behind it; runs the second attempt.
-    RejectionTwice,
-    /// The same, but the copy is sent in the place of the next response on the connection.
-    RejectionTwiceLate,
-    /// The same with 421.
-    MisdirectedTwiceLate,
-    /// Rejects the first attempt and resets the connection; runs the second attempt.
-    RejectionThenReset,
-    /// Rejects every attempt, and breaks off each rejection.
-    RejectionTruncated,
-    /// Runs it, and sends the beginning of a surplus rejection before its response.
-    SurplusRejectionHead,
-    /// The same with a surplus 421.
-    SurplusMisdirectedHead,
-    /// Runs it and resets the connection.
-    ResetWhileRunning,
-    /// Runs it and closes the connection.
-    CloseWhileRunning,
-    /// Runs it and sends bytes that are no response.
-    GarbageWhileRunning,
-    /// Runs it and sends nothing.
-    SilentWhileRunning,
-    /// Runs it and breaks off the head of its response.
-    HeadTruncated,
-    /// Runs it and breaks off the body of its response.
-    BodyTruncated,
-    /// Runs it and responds with 503, without stating that it has not run.
-    Unmarked503,
-    /// The same with 429.
-    Unmarked429,
-    /// The same with 408.
-    Unmarked408,
-    /// Runs it and responds with 500.
-    Own500,
-    /// Runs it and responds with 504.
-    Own504,
-    /// Runs it, responds, and sends a copy of the response in the place of the next one.
-    ResponseTwiceLate,
-    /// Runs it, responds, and sends garbage behind the response.
-    ResponseThenGarbage,
-    /// Runs it before its body is complete, and resets the connection.
-    EarlyRunReset,
-    /// Runs it before its body is complete, and closes the connection.
-    EarlyRunClose,
-    /// Runs it before its body is complete, and sends bytes that are no response.
-    EarlyRunGarbage,
-    /// Runs it before its body is complete, and responds before it reads the rest.
-    EarlyRunResponse,
-    /// Runs it before its body is complete, reads no more of the body and sends nothing.
-    EarlyRunSilent,
-}
-
-impl Fault {
-    /// All of them.
-    pub const ALL: [Fault; 26] = [
-        Fault::None,
-        Fault::RejectionTwice,
-        Fault::RejectionTwiceLate,
-        Fault::MisdirectedTwiceLate,
-        Fault::RejectionThenReset,
-        Fault::RejectionTruncated,
-        Fault::SurplusRejectionHead,
-        Fault::SurplusMisdirectedHead,
-        Fault::ResetWhileRunning,
-        Fault::CloseWhileRunning,
-        Fault::GarbageWhileRunning,
-        Fault::SilentWhileRunning,
-        Fault::HeadTruncated,
-        Fault::BodyTruncated,
-        Fault::Unmarked503,
-        Fault::Unmarked429,
-        Fault::Unmarked408,
-        Fault::Own500,
-        Fault::Own504,
-        Fault::ResponseTwiceLate,
-        Fault::ResponseThenGarbage,
-        Fault::EarlyRunReset,
-        Fault::EarlyRunClose,
-        Fault::EarlyRunGarbage,
-        Fault::EarlyRunResponse,
-        Fault::EarlyRunSilent,
-    ];
-
-    /// The name in the header.
-    pub fn name(self) -> String {
-        format!("{self:?}")
-    }
-
-    fn of_name(name: &str) -> Fault {
-        Fault::ALL.into_iter().find(|fault| fault.name() == name).unwrap_or(Fault::None)
-    }
-
-    /// Whether it begins before the body of the request is complete.
-    pub fn is_early(self) -> bool {
-        matches!(
-            self,
-            Fault::EarlyRunReset
-                | Fault::EarlyRunClose
-                | Fault::EarlyRunGarbage
-                | Fault::EarlyRunResponse
-                | Fault::EarlyRunSilent
-        )
-    }
-
-    /// Whether the request may remain without a run: if it is rejected, and is not retried.
-    pub fn is_rejection(self) -> bool {
-        self.rejects_first_attempt() || self == Fault::RejectionTruncated
-    }
-
-    /// Whether the first attempt is rejected, and the second one runs.
-    fn rejects_first_attempt(self) -> bool {
-        matches!(
-            self,
-            Fault::RejectionTwice
-                | Fault::RejectionTwiceLate
-                | Fault::MisdirectedTwiceLate
-                | Fault::RejectionThenReset
-        )
-    }
-}
-
 /// A backend in this process. Dropped, it crashes.
 #[derive(Debug)]
 pub struct FaultyBackend {
--- a/crates/brassport-testbed/src/load.rs
+++ b/crates/brassport-testbed/src/load.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use strum::VariantArray;
 use tokio::task::JoinHandle;
 
 /// Work of requests that are in flight when their node shuts down.
@@ -133,7 +134,7 @@
         for _ in 0..4 {
             let spec = spec.clone();
             self.add(8.0, None, move |point| {
-                let fault = Fault::ALL[point as usize % Fault::ALL.len()];
+                let fault = Fault::VARIANTS[point as usize % Fault::VARIANTS.len()];
                 Some(spec.clone().with_fault(fault))
             });
         }
--- a/crates/brassport-testbed/src/node.rs
+++ b/crates/brassport-testbed/src/node.rs
@@ -5,7 +5,7 @@
 use std::fs::OpenOptions;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 /// The environment variable that names the settings file.
@@ -41,6 +41,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    last_exit: Option<ExitStatus>,
 }
 
 impl Node {
@@ -62,6 +63,7 @@
             settings: folder.join(format!("{name}.yaml")),
             log: folder.join(format!("{name}.log")),
             child: None,
+            last_exit: None,
         }
     }
 
@@ -179,13 +181,19 @@
     /// Whether no process runs, as none was started or it has ended.
     pub fn has_exited(&mut self) -> bool {
         if let Some(child) = &mut self.child {
-            if matches!(child.try_wait(), Ok(Some(_))) {
+            if let Ok(Some(status)) = child.try_wait() {
+                self.last_exit = Some(status);
                 self.child = None;
             }
         }
         self.child.is_none()
     }
 
+    /// How the last process that ended by itself did so.
+    pub fn last_exit(&self) -> String {
+        self.last_exit.map_or_else(|| "unknown".to_owned(), |status| status.to_string())
+    }
+
     /// Empties the data folder, as when the machine's disk is lost.
     ///
     /// # Errors
--- a/crates/brassport-testbed/tests/it/refused.rs
+++ b/crates/brassport-testbed/tests/it/refused.rs
@@ -21,6 +21,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
+use strum::VariantArray;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -136,7 +137,7 @@
         let index = self.record_attempt(&id, &path);
         let (time_left, bearer) = (DEADLINE.as_millis().to_string(), format!("Bearer {}", self.site.key));
         let headers =
-            [(TRY_ID, &*id), (TIME_LEFT, &*time_left), ("authorization", &*bearer), (FAULT, &*fault.name())];
+            [(TRY_ID, &*id), (TIME_LEFT, &*time_left), ("authorization", &*bearer), (FAULT, fault.name())];
         let result = if fault.is_early() {
             self.send_incomplete(&path, &headers).await
         } else {
@@ -228,7 +229,7 @@
         let site = FaultySite::start().await;
         let mut client = site.client();
         let mut seen = Seen::new();
-        for fault in Fault::ALL {
+        for fault in Fault::VARIANTS.iter().copied() {
             client.serve_some(SERVED_BEFORE).await;
             let attempted = client.send(fault).await;
             let has_run = site.has_run(&attempted.id);
@@ -247,7 +248,7 @@
     let (mut client, mut rng) = (site.client(), Rand64::new(u128::from(seed)));
     // These take as long as the client waits.
     let is_slow = |fault: &Fault| matches!(fault, Fault::SilentWhileRunning | Fault::EarlyRunSilent);
-    let faults: Vec<Fault> = Fault::ALL.into_iter().filter(|fault| !is_slow(fault)).collect();
+    let faults: Vec<Fault> = Fault::VARIANTS.iter().copied().filter(|fault| !is_slow(fault)).collect();
     for _ in 0..REQUESTS {
         let drawn = faults[rng.rand_range(0..faults.len() as u64) as usize];
         let fault = if rng.rand_range(0..3) == 0 { drawn } else { Fault::None };
--- a/crates/brassport-testbed/tests/it/soak.rs
+++ b/crates/brassport-testbed/tests/it/soak.rs
@@ -127,7 +127,8 @@
         for node in 0..self.states.len() {
             let may_run = matches!(self.states[node], NodeState::Runs | NodeState::Suspended);
             if may_run && self.site.nodes[node].has_exited() {
-                self.findings.push(format!("door {} ended by itself", node + 1));
+                let exit = self.site.nodes[node].last_exit();
+                self.findings.push(format!("door {} ended by itself: {exit}", node + 1));
                 self.states[node] = NodeState::Terminated;
             }
         }
