--- a/crates/brassport-proxy/tests/it/common/mod.rs
+++ b/crates/brassport-proxy/tests/it/common/mod.rs
@@ -219,13 +219,7 @@
 
     /// Admits a request whose client never sends the end of its body.
     pub fn admit_incomplete(&self) -> PendingRequest<SystemClock, Tcp> {
-        let body: UpstreamBody = ProxiedBody::Streaming(Box::pin(StalledBody(Some(Bytes::from("first")))));
-        let upload = StreamingUpload {
-            body: RefCell::new(Some(body)),
-            progress: Rc::default(),
-            client_timeout: CLIENT_TIMEOUT,
-        };
-        self.admit_with(HeaderMap::new(), RequestBody::Streaming(upload))
+        self.admit_with(HeaderMap::new(), incomplete_body())
     }
 
     fn admit_with(&self, headers: HeaderMap, body: RequestBody) -> PendingRequest<SystemClock, Tcp> {
@@ -250,6 +244,16 @@
     }
 }
 
+/// The body of a request whose client never sends its end.
+pub fn incomplete_body() -> RequestBody {
+    let body: UpstreamBody = ProxiedBody::Streaming(Box::pin(StalledBody(Some(Bytes::from("first")))));
+    RequestBody::Streaming(StreamingUpload {
+        body: RefCell::new(Some(body)),
+        progress: Rc::default(),
+        client_timeout: CLIENT_TIMEOUT,
+    })
+}
+
 /// A body that has a first chunk and never ends.
 struct StalledBody(Option<Bytes>);
 
--- a/crates/brassport-proxy/tests/it/main.rs
+++ b/crates/brassport-proxy/tests/it/main.rs
@@ -9,5 +9,6 @@
 mod deadline;
 mod dispatch;
 mod golden;
+mod upstream_attempt;
 mod upstream_connection;
 mod upstream_request;
