--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,7 +4,9 @@
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
 mod backend;
+mod client;
 mod http;
+mod late_beat;
 mod link;
 mod record;
 mod silent_answer;
@@ -43,6 +45,7 @@
     };
     record.line(format!("case {case}, disruption: {is_troubled}"));
     let result = match case.as_str() {
+        "late-beat" => late_beat::play(&record, is_troubled),
         "silent-answer" => silent_answer::play(&record, is_troubled),
         "unknown-signoff" => unknown_signoff::play(&record, is_troubled),
         other => Err(format!("there is no case {other}")),
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -183,6 +183,19 @@
         }
     }
 
+    /// Kills the processes of all doors at once (SIGKILL).
+    pub fn kill_all(&self) {
+        let mut children = self.children();
+        for child in children.iter_mut().flatten() {
+            let _ = child.kill();
+        }
+        for child in children.iter_mut() {
+            if let Some(mut child) = child.take() {
+                let _ = child.wait();
+            }
+        }
+    }
+
     /// Sends a signal to a door's process.
     pub fn signal(&self, door: usize, name: &str) -> Result<(), Failure> {
         let id = self.children()[door].as_ref().map(Child::id).ok_or("the door does not run")?;
--- a/review/standin/src/unknown_signoff.rs
+++ b/review/standin/src/unknown_signoff.rs
@@ -1,7 +1,8 @@
 //! Case: a door that has just been started again takes the sign-off of a backend that it does not know yet.
 
 use crate::backend::{beat, Backend, Work};
-use crate::http::{self, Connection};
+use crate::client::{Clients, Sent};
+use crate::http;
 use crate::link::Link;
 use crate::record::Record;
 use crate::site::{document, random, Machine, Site};
@@ -44,13 +45,6 @@
     acknowledged: Mutex<Option<(f64, usize)>>,
 }
 
-/// A request as its client saw it.
-struct Sent {
-    id: String,
-    door: usize,
-    status: u16,
-}
-
 pub fn play(record: &Arc<Record>, is_troubled: bool) -> Result<Verdict, Failure> {
     let relay = |ip: &Ipv4Addr, first: u8| {
         let [_, second, third, last] = ip.octets();
@@ -92,13 +86,7 @@
     site.wait_until_ready(Duration::from_secs(20))?;
     thread::sleep(Duration::from_secs(5));
 
-    let is_over = Arc::new(AtomicBool::new(false));
-    let sent = Arc::new(Mutex::new(Vec::new()));
-    for number in 0..CLIENTS * RESTARTED {
-        let (door, front) = (number % RESTARTED, site.front(number % RESTARTED));
-        let (is_over, sent, record) = (is_over.clone(), sent.clone(), record.clone());
-        thread::spawn(move || client(door, front, &is_over, &sent, &record));
-    }
+    let clients = Clients::start(&site, RESTARTED, CLIENTS, record);
     thread::sleep(Duration::from_secs(3));
     is_leaving.store(true, Ordering::SeqCst);
     if is_troubled {
@@ -125,12 +113,10 @@
     for leaver in leavers {
         leaver.join().map_err(|_| "a backend failed".to_owned())?;
     }
-    is_over.store(true, Ordering::SeqCst);
-    thread::sleep(Duration::from_secs(1));
+    let sent = clients.stop();
     if !site.all_run() {
         return Err("a door ended".to_owned());
     }
-    let sent = std::mem::take(&mut *sent.lock().unwrap_or_else(|poisoned| poisoned.into_inner()));
     judge(record, &leaving, &sent)
 }
 
@@ -199,35 +185,6 @@
     leaver.backend.end();
 }
 
-fn client(door: usize, front: SocketAddrV4, is_over: &AtomicBool, sent: &Mutex<Vec<Sent>>, record: &Record) {
-    let limit = Duration::from_secs(5);
-    let mut connection = None;
-    while !is_over.load(Ordering::SeqCst) {
-        let id = format!("{:016x}", random());
-        let headers = [
-            ("Host", "front.example"),
-            ("Authorization", "Bearer key-of-mill"),
-            ("X-Try-Id", id.as_str()),
-            ("X-Time-Left-Ms", "4000"),
-        ];
-        record.event(format!("sent     {id} to door {door}"));
-        let mut open = match connection.take() {
-            Some(open) => open,
-            None => match Connection::open(front, limit) {
-                Ok(open) => open,
-                Err(_) => continue,
-            },
-        };
-        let answer = open.exchange("POST", "/book/load", &headers, b"drum 9");
-        let status = answer.as_ref().map_or(0, |answer| answer.status());
-        record.event(format!("got      {id} from door {door}: {status}"));
-        let is_last = answer.map_or(true, |answer| answer.head.header("connection") == Some("close"));
-        connection = (!is_last).then_some(open);
-        sent.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(Sent { id, door, status });
-        thread::sleep(Duration::from_millis(10));
-    }
-}
-
 fn judge(record: &Record, leaving: &[Arc<Leaver>], sent: &[Sent]) -> Result<Verdict, Failure> {
     let (mut late, mut late_at, mut lost, mut acknowledged) = (0, 0, 0, 0);
     for leaver in leaving {
