--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -14,6 +14,7 @@
 mod unknown_signoff;
 
 use record::Record;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -44,12 +45,9 @@
         }
     };
     record.line(format!("case {case}, disruption: {is_troubled}"));
-    let result = match case.as_str() {
-        "late-beat" => late_beat::play(&record, is_troubled),
-        "silent-answer" => silent_answer::play(&record, is_troubled),
-        "unknown-signoff" => unknown_signoff::play(&record, is_troubled),
-        other => Err(format!("there is no case {other}")),
-    };
+    let played = catch_unwind(AssertUnwindSafe(|| play(case, &record, is_troubled)));
+    site::end_all();
+    let result = played.unwrap_or_else(|_| Err("the scenario panicked".to_owned()));
     match result {
         Ok(Verdict::Kept) => {
             record.line("verdict: the rule held".to_owned());
@@ -65,3 +63,12 @@
         }
     }
 }
+
+fn play(case: &str, record: &Arc<Record>, is_troubled: bool) -> Result<Verdict, Failure> {
+    match case {
+        "late-beat" => late_beat::play(record, is_troubled),
+        "silent-answer" => silent_answer::play(record, is_troubled),
+        "unknown-signoff" => unknown_signoff::play(record, is_troubled),
+        other => Err(format!("there is no case {other}")),
+    }
+}
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// A random number.
@@ -27,7 +27,37 @@
     pub reached_at: Vec<(Ipv4Addr, Ipv4Addr)>,
 }
 
-/// A deployment. Dropped, it ends its processes and removes its folder.
+/// The processes of a site, by door.
+type Children = Arc<Mutex<Vec<Option<Child>>>>;
+
+/// What all sites have started: processes, and temporary folders.
+static STARTED: Mutex<Vec<(Children, PathBuf)>> = Mutex::new(Vec::new());
+
+/// Ends all processes of all sites, and removes their folders. Threads that still hold a site find nobody there.
+pub fn end_all() {
+    for (children, folder) in lock(&STARTED).drain(..) {
+        kill_all(&children);
+        let _ = std::fs::remove_dir_all(folder);
+    }
+}
+
+fn kill_all(children: &Children) {
+    let mut children = lock(children);
+    for child in children.iter_mut().flatten() {
+        let _ = child.kill();
+    }
+    for child in children.iter_mut() {
+        if let Some(mut child) = child.take() {
+            let _ = child.wait();
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A deployment. [`end_all`] ends its processes.
 pub struct Site {
     pub ips: Vec<Ipv4Addr>,
     pub front_port: u16,
@@ -37,7 +67,7 @@
     command: Vec<String>,
     root: PathBuf,
     folder: PathBuf,
-    children: Mutex<Vec<Option<Child>>>,
+    children: Children,
 }
 
 /// The number of free ports between nodes.
@@ -52,12 +82,14 @@
         let ips: Vec<Ipv4Addr> = (1..=count).map(|last| address(block, last)).collect();
         let folder = std::env::temp_dir().join(format!("brassport-review-{:016x}", random()));
         std::fs::create_dir_all(&folder).map_err(|error| format!("temporary folder: {error}"))?;
+        let children: Children = Arc::new(Mutex::new(ips.iter().map(|_| None).collect()));
+        lock(&STARTED).push((children.clone(), folder.clone()));
         Ok(Site {
             machines: machines(&ips),
             front_port: base,
             control_port: base + 2,
             internal_port: base + 3,
-            children: Mutex::new(ips.iter().map(|_| None).collect()),
+            children,
             ips,
             command,
             root,
@@ -166,8 +198,8 @@
         Ok(())
     }
 
-    fn children(&self) -> std::sync::MutexGuard<'_, Vec<Option<Child>>> {
-        self.children.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    fn children(&self) -> MutexGuard<'_, Vec<Option<Child>>> {
+        lock(&self.children)
     }
 
     /// Starts all doors for the first time.
@@ -185,15 +217,7 @@
 
     /// Kills the processes of all doors at once (SIGKILL).
     pub fn kill_all(&self) {
-        let mut children = self.children();
-        for child in children.iter_mut().flatten() {
-            let _ = child.kill();
-        }
-        for child in children.iter_mut() {
-            if let Some(mut child) = child.take() {
-                let _ = child.wait();
-            }
-        }
+        kill_all(&self.children);
     }
 
     /// Sends a signal to a door's process.
@@ -270,13 +294,6 @@
     }
 }
 
-impl Drop for Site {
-    fn drop(&mut self) {
-        (0..self.ips.len()).for_each(|door| self.kill(door));
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 /// The configuration of one service with one route to it, and one more service without a route.
 pub fn document(service: &str, other: &str, give_up_s: f64, goal_s: f64) -> String {
     let service_of = |name: &str| {
