--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -5,7 +5,7 @@
 use std::io::{self, BufReader, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::Duration;
 
 /// How a backend works on a request.
@@ -26,13 +26,30 @@
     pub ended: Option<f64>,
 }
 
+/// Requests that a backend handles at once, as its beats say, and those that may wait beside them.
+const CAPACITY: usize = 4;
+const QUEUE: usize = 16;
+/// How long a backend that ends finishes what it is at.
+const FINISH: Duration = Duration::from_millis(500);
+
+/// Requests at work and waiting.
+#[derive(Default)]
+struct Load {
+    running: usize,
+    waiting: usize,
+}
+
 /// One incarnation of a backend.
 pub struct Backend {
     pub id: String,
     pub address: SocketAddrV4,
     work: Work,
     record: Arc<Record>,
+    /// It has signed off: each answer is the last on its connection.
+    is_leaving: AtomicBool,
     is_gone: AtomicBool,
+    load: Mutex<Load>,
+    slot_freed: Condvar,
     connections: Mutex<Vec<TcpStream>>,
     runs: Mutex<Vec<Run>>,
 }
@@ -53,7 +70,10 @@
             address,
             work,
             record: record.clone(),
+            is_leaving: AtomicBool::new(false),
             is_gone: AtomicBool::new(false),
+            load: Mutex::default(),
+            slot_freed: Condvar::new(),
             connections: Mutex::default(),
             runs: Mutex::default(),
         });
@@ -67,9 +87,15 @@
         lock(&self.runs).clone()
     }
 
-    /// Ends: closes its connections and its port.
+    /// Has each answer from now on say `Connection: close`.
+    pub fn begin_to_leave(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Ends: takes nothing new, finishes what it is at, and closes its connections and its port.
     pub fn end(&self) {
         self.is_gone.store(true, Ordering::SeqCst);
+        std::thread::sleep(FINISH);
         for connection in lock(&self.connections).drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
@@ -114,19 +140,50 @@
                 stream.write_all(answer.as_bytes())?;
                 continue;
             }
-            self.run(&head, &id, stream)?;
+            if !self.take_slot() {
+                let answer = format!(
+                    "HTTP/1.1 503 Service Unavailable\r\nX-Try-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                );
+                stream.write_all(answer.as_bytes())?;
+                continue;
+            }
+            let is_last = self.is_leaving.load(Ordering::SeqCst);
+            let result = self.run(&head, &id, is_last, stream);
+            lock(&self.load).running -= 1;
+            self.slot_freed.notify_one();
+            result?;
+            if is_last {
+                return stream.shutdown(Shutdown::Both);
+            }
         }
         Ok(())
     }
 
-    fn run(&self, head: &Head, id: &str, stream: &mut TcpStream) -> io::Result<()> {
+    /// Waits for a free slot. False if the queue is full, or the backend ends.
+    fn take_slot(&self) -> bool {
+        let mut load = lock(&self.load);
+        if self.is_gone.load(Ordering::SeqCst) || load.waiting >= QUEUE {
+            return false;
+        }
+        load.waiting += 1;
+        while load.running >= CAPACITY {
+            load = self.slot_freed.wait(load).unwrap_or_else(|poisoned| poisoned.into_inner());
+        }
+        load.waiting -= 1;
+        load.running += 1;
+        true
+    }
+
+    fn run(&self, head: &Head, id: &str, is_last: bool, stream: &mut TcpStream) -> io::Result<()> {
         let index = {
             let mut runs = lock(&self.runs);
             runs.push(Run { at: self.record.now(), id: id.to_owned(), ended: None });
             runs.len() - 1
         };
         self.record.event(format!("run      {id} at {}", self.id));
-        let start = format!("HTTP/1.1 200 OK\r\nX-Try-Id: {id}\r\nX-Server-Seal: {}.{index}\r\n", self.id);
+        let close = if is_last { "Connection: close\r\n" } else { "" };
+        let start =
+            format!("HTTP/1.1 200 OK\r\nX-Try-Id: {id}\r\nX-Server-Seal: {}.{index}\r\n{close}", self.id);
         let path = head.first_line.split(' ').nth(1).unwrap_or_default();
         match self.work {
             Work::TwoPieces(pause) if path.ends_with("/report") => {
--- a/review/standin/src/late_beat.rs
+++ b/review/standin/src/late_beat.rs
@@ -54,7 +54,7 @@
     let backends: Vec<Arc<Backend>> = (0..BACKENDS)
         .map(|_| {
             let id = format!("i-{:08x}", random() as u32);
-            Backend::start(id, site.other_address(200), Work::Plain(WORK), record)
+            Backend::start(id, site.other_address(250), Work::Plain(WORK), record)
         })
         .collect::<Result<_, _>>()
         .map_err(|error| error.to_string())?;
@@ -147,6 +147,7 @@
         let status = answer.map_or(0, |answer| answer.status());
         record.event(format!("sign-off {} at door {door}: {status}", leaver.backend.id));
         if status / 100 == 2 {
+            leaver.backend.begin_to_leave();
             *leaver.acknowledged.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = Some(record.now());
             return;
         }
--- a/review/standin/src/silent_answer.rs
+++ b/review/standin/src/silent_answer.rs
@@ -13,17 +13,20 @@
 /// What the route allows (`giveUpS`), and what the clients wait (`X-Time-Left-Ms`): far more than any answer takes here.
 const GIVE_UP_S: f64 = 60.0;
 const CLIENT_S: u64 = 50;
-/// The backend's silence within an answer.
-const SILENCE: Duration = Duration::from_secs(18);
-/// The same without the disruption.
-const SHORT_SILENCE: Duration = Duration::from_secs(2);
+/// How long a backend of ordinary speed works between the two pieces of an answer, in silence.
+const SILENCE: Duration = Duration::from_secs(12);
+/// The time that the backends take, as multiples of that: they run at different speeds.
+const SPEEDS: [f64; 4] = [0.5, 1.0, 1.0, 1.5];
+/// The same without the disruption: none is slower than the ordinary.
+const EVEN_SPEEDS: [f64; 4] = [0.5, 1.0, 1.0, 1.0];
+const BACKENDS: usize = 8;
 /// Kept connections to each of two doors, each with one long request.
-const CLIENTS: usize = 5;
+const CLIENTS: usize = 12;
 /// The door that gets SIGHUP while the requests are under way.
 const DOOR_WITH_HUP: usize = 0;
 /// Another door, which gets none.
 const OTHER_DOOR: usize = 1;
-const DOORS: u8 = 3;
+const DOORS: u8 = 4;
 
 /// One long request.
 struct Outcome {
@@ -36,17 +39,18 @@
 }
 
 pub fn play(record: &Arc<Record>, is_troubled: bool) -> Result<Verdict, Failure> {
-    let zone = |ip: usize| ["kettle-hall", "tank-yard", "assay-house"][ip].to_owned();
+    let zone = |door: usize| ["kettle-hall", "tank-yard", "assay-house"][door % 3].to_owned();
     let machine =
-        |door| Machine { zone: zone(door), is_counted: true, link_mbps: 1000.0, reached_at: Vec::new() };
+        |door| Machine { zone: zone(door), is_counted: door < 3, link_mbps: 1000.0, reached_at: Vec::new() };
     let site = Site::lay(|ips| (0..ips.len()).map(machine).collect(), DOORS)?;
     site.start_all()?;
     site.configure(&document("yield-archive", "batch-ledger", GIVE_UP_S, 30.0))?;
-    let silence = if is_troubled { SILENCE } else { SHORT_SILENCE };
-    let backends: Vec<Arc<Backend>> = (0..3)
-        .map(|_| {
+    let speeds = if is_troubled { SPEEDS } else { EVEN_SPEEDS };
+    let backends: Vec<Arc<Backend>> = (0..BACKENDS)
+        .map(|number| {
             let id = format!("i-{:08x}", random() as u32);
-            Backend::start(id, site.other_address(200), Work::TwoPieces(silence), record)
+            let work = Work::TwoPieces(SILENCE.mul_f64(speeds[number % speeds.len()]));
+            Backend::start(id, site.other_address(250), work, record)
         })
         .collect::<Result<_, _>>()
         .map_err(|error| error.to_string())?;
@@ -94,7 +98,7 @@
                 }
             }
         }
-        thread::sleep(Duration::from_millis(1400));
+        thread::sleep(Duration::from_millis(1300));
     }
 }
 
