Push departures in bulk and pull missed ones by hashes of single records

Cause: a change was pushed to some nodes and forwarded to two, which leaves out a fifth of them. These got it by a comparison of 16 range digests, begun at most every 0.9 s while the table changes, with a peer that may lack it too. While backends come and go nearly all ranges differ, so each answer was most of the table: 70 KB and more at 475 backends. These answers filled links of 2 Mbit/s and delayed pushes and confirmations as well.

Evidence: the new test departure_latency counts by which way each node learns. Scarce processor time is not the cause: the simulation has none.

Change: departures go out as rows of some 20 bytes in batches, a limited number a push, to five peers; a comparison sends four bytes a record, as datagrams, and gets only what it lacks, departures first, in limited amounts; exchanges come every 120 ms while tables change, most within the zone, so that they don't concentrate on the core. The first request for a confirmation holds the departure alone, later ones double their interval. A copy without details no longer erases them.

--- a/crates/brassport-control-plane/src/backends/calls.rs
+++ b/crates/brassport-control-plane/src/backends/calls.rs
@@ -22,7 +22,7 @@
         let Some(record) = self.backends.table.get(now, &id) else { return };
         if outcome == MergeOutcome::Changed {
             self.outbox.push(Action::BackendChanged(record.clone()));
-            self.disseminate(std::slice::from_ref(&record));
+            self.disseminate(&record.id);
         }
         if is_draining {
             self.confirm_by_core(call, record);
@@ -35,7 +35,7 @@
     pub(crate) fn on_deregister(&mut self, call: u64, id: &str) {
         let record = self.backends.table.terminate(self.clock.now(), id);
         self.outbox.push(Action::BackendChanged(record.clone()));
-        self.disseminate(std::slice::from_ref(&record));
+        self.disseminate(&record.id);
         self.confirm_by_core(call, record);
     }
 
--- a/crates/brassport-control-plane/src/backends/record.rs
+++ b/crates/brassport-control-plane/src/backends/record.rs
@@ -4,6 +4,7 @@
 use crate::Millis;
 use brassport_types::fnv1a_32;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// Lease of a ready backend. It is long, because the node that receives the heartbeats reports when they stop; the
@@ -44,6 +45,57 @@
     }
 }
 
+/// The departure of a backend, as nodes notify each other of it: a tenth of the size of its complete record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "DepartureRow", into = "DepartureRow")]
+pub struct Departure {
+    /// The name of the incarnation.
+    pub id: String,
+    /// Its state, which is not [`BackendState::Ready`].
+    pub state: BackendState,
+    /// Number of calls that the backend has made to the control plane.
+    pub call_count: u64,
+    /// Milliseconds from the backend's last call to the time when this notification was made.
+    pub age_ms: u32,
+}
+
+/// Name, code of the state, call count and age.
+type DepartureRow = (String, u8, u64, u32);
+
+/// A departure has no state with this code.
+#[derive(Debug)]
+pub struct UnknownState(u8);
+
+impl fmt::Display for UnknownState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "no state of a departure has the code {}", self.0)
+    }
+}
+
+impl TryFrom<DepartureRow> for Departure {
+    type Error = UnknownState;
+
+    fn try_from((id, code, call_count, age_ms): DepartureRow) -> Result<Departure, UnknownState> {
+        let states = [BackendState::Unresponsive, BackendState::Draining, BackendState::Terminated];
+        let state = states.into_iter().find(|state| *state as u8 == code).ok_or(UnknownState(code))?;
+        Ok(Departure { id, state, call_count, age_ms })
+    }
+}
+
+impl From<Departure> for DepartureRow {
+    fn from(departure: Departure) -> DepartureRow {
+        let Departure { id, state, call_count, age_ms } = departure;
+        (id, state as u8, call_count, age_ms)
+    }
+}
+
+impl From<Departure> for Backend {
+    fn from(departure: Departure) -> Backend {
+        let Departure { id, state, call_count, age_ms } = departure;
+        Backend { call_count, age_ms, ..Backend::without_details(id, state) }
+    }
+}
+
 /// One incarnation of a backend.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backend {
@@ -75,22 +127,33 @@
 }
 
 impl Backend {
-    /// The record of a terminated backend of which this node has no other record.
-    pub(super) fn terminated(id: &str) -> Backend {
+    /// A record of which only the name and the state are known.
+    pub(super) fn without_details(id: String, state: BackendState) -> Backend {
         Backend {
-            id: id.to_owned(),
+            id,
             service: String::new(),
             address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
             zone: String::new(),
             version: String::new(),
             capacity: 1,
-            state: BackendState::Terminated,
+            state,
             call_count: 0,
             warmup_left_ms: 0,
             age_ms: 0,
         }
     }
 
+    /// Whether the service, the address and the other details are known.
+    pub(super) fn has_details(&self) -> bool {
+        !self.service.is_empty()
+    }
+
+    /// The departure that this record states; `None` if the backend is ready.
+    pub(crate) fn departure(&self) -> Option<Departure> {
+        let (id, state, call_count, age_ms) = (self.id.clone(), self.state, self.call_count, self.age_ms);
+        (state != BackendState::Ready).then_some(Departure { id, state, call_count, age_ms })
+    }
+
     /// Whether this copy is newer than another copy for the same backend: termination overrides all other states, then
     /// the call count decides, then the state.
     pub(super) fn is_newer_than(&self, other: &Backend) -> bool {
@@ -98,11 +161,14 @@
         order(self) > order(other)
     }
 
-    /// The digest by which nodes compare their tables: 64-bit FNV-1a over the name, the coarse call count, the state
-    /// and the port.
+    /// The digest by which nodes compare their tables: 64-bit FNV-1a over the name, the state and, of a ready backend,
+    /// the coarse call count and the port. No node needs the details of a backend that is not ready.
     pub(super) fn digest(&self) -> u64 {
-        let coarse_count = if self.state == BackendState::Ready { self.call_count / DIGEST_CALLS } else { 0 };
-        let numbers = [coarse_count, self.state as u64, u64::from(self.address.port())];
+        let (coarse_count, port) = match self.state {
+            BackendState::Ready => (self.call_count / DIGEST_CALLS, self.address.port()),
+            BackendState::Unresponsive | BackendState::Draining | BackendState::Terminated => (0, 0),
+        };
+        let numbers = [coarse_count, self.state as u64, u64::from(port)];
         let bytes = self.id.bytes().chain(numbers.into_iter().flat_map(u64::to_be_bytes));
         mix(bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
             (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
--- a/crates/brassport-control-plane/src/backends/table.rs
+++ b/crates/brassport-control-plane/src/backends/table.rs
@@ -1,8 +1,8 @@
 //! The endpoint table of one node.
 
-use super::{Backend, BackendState, DIGEST_RANGES};
+use super::{Backend, BackendState, RecordHashes, DIGEST_RANGES};
 use crate::Millis;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 /// The result of merging a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,7 +27,12 @@
 
 #[derive(Debug)]
 struct Entry {
+    /// Changed only by [`replace`](Entry::replace), which updates the digest.
     backend: Backend,
+    /// The digest of the record.
+    digest: u64,
+    /// The index of the table range that the record belongs to.
+    range: usize,
     /// When a call of the backend last renewed the lease.
     renewed_at: Millis,
     /// When this node received the last heartbeat; `None` if another node received it.
@@ -40,7 +45,23 @@
 
 impl Entry {
     fn new(backend: Backend, renewed_at: Millis, heartbeat_at: Option<Millis>, warm_at: Millis) -> Entry {
-        Entry { backend, renewed_at, heartbeat_at, warm_at, is_quarantined: false }
+        let (digest, range) = (backend.digest(), backend.range());
+        Entry { backend, digest, range, renewed_at, heartbeat_at, warm_at, is_quarantined: false }
+    }
+
+    fn replace(&mut self, backend: Backend) {
+        self.digest = backend.digest();
+        self.backend = backend;
+    }
+
+    fn set_state(&mut self, state: BackendState) {
+        self.backend.state = state;
+        self.digest = self.backend.digest();
+    }
+
+    /// The hash by which nodes compare single records.
+    fn hash(&self) -> u32 {
+        self.digest as u32
     }
 
     fn has_heartbeat_since(&self, since: Millis) -> bool {
@@ -61,9 +82,14 @@
         }
     }
 
-    /// Replaces the record by a newer copy.
+    /// Replaces the record by a newer copy. A copy without details leaves those of the record as they are.
     fn update(&mut self, newer: Backend, times: CopyTimes) -> MergeOutcome {
         let state = merged_state(self.backend.state, newer.state);
+        let newer = if newer.has_details() {
+            newer
+        } else {
+            Backend { call_count: newer.call_count, ..self.backend.clone() }
+        };
         let is_changed = state != self.backend.state
             || newer.address != self.backend.address
             || newer.service != self.backend.service;
@@ -75,7 +101,7 @@
         if is_renewed || (self.backend.warmup_left_ms == 0 && newer.warmup_left_ms > 0) {
             self.warm_at = times.warm_at;
         }
-        self.backend = Backend { state, ..newer };
+        self.replace(Backend { state, ..newer });
         if is_changed {
             MergeOutcome::Changed
         } else {
@@ -109,9 +135,9 @@
 }
 
 impl Table {
-    /// When the table last changed ([`MergeOutcome::Changed`]); `None` if it never did.
-    pub(crate) fn changed_at(&self) -> Option<Millis> {
-        self.changed_at
+    /// Whether the table has changed since this time ([`MergeOutcome::Changed`]).
+    pub(crate) fn has_changed_since(&self, since: Millis) -> bool {
+        self.changed_at.is_some_and(|at| at >= since)
     }
 
     /// Merges a record. The order in which copies are merged does not matter.
@@ -162,9 +188,10 @@
     /// Terminates a backend, even one unknown to this node, since other nodes may have a record of it. Returns the
     /// record to be broadcast.
     pub(crate) fn terminate(&mut self, now: Millis, id: &str) -> Backend {
-        let unknown = || Entry::new(Backend::terminated(id), now, None, now);
+        let unknown =
+            || Entry::new(Backend::without_details(id.to_owned(), BackendState::Terminated), now, None, now);
         let entry = self.entries.entry(id.to_owned()).or_insert_with(unknown);
-        entry.backend.state = BackendState::Terminated;
+        entry.set_state(BackendState::Terminated);
         entry.is_quarantined = false;
         entry.renewed_at = now;
         entry.snapshot(now)
@@ -177,7 +204,7 @@
         for entry in self.entries.values_mut() {
             let is_stopped = entry.heartbeat_at.is_some_and(|at| now >= at + after);
             if is_stopped && entry.backend.state == BackendState::Ready && !entry.is_quarantined {
-                entry.backend.state = BackendState::Unresponsive;
+                entry.set_state(BackendState::Unresponsive);
                 marked.push(entry.backend.clone());
             }
         }
@@ -202,11 +229,11 @@
         }
     }
 
-    /// The records of the ready backends that sent this node a heartbeat since this time.
-    pub(crate) fn with_heartbeat_since(&self, now: Millis, since: Millis) -> Vec<Backend> {
+    /// The names of the ready backends that sent this node a heartbeat since this time.
+    pub(crate) fn with_heartbeat_since(&self, since: Millis) -> Vec<String> {
         let is_received =
             |entry: &&Entry| entry.backend.state == BackendState::Ready && entry.has_heartbeat_since(since);
-        self.entries.values().filter(is_received).map(|entry| entry.snapshot(now)).collect()
+        self.entries.values().filter(is_received).map(|entry| entry.backend.id.clone()).collect()
     }
 
     /// Drops the quarantined records. Returns their names.
@@ -232,11 +259,16 @@
         self.entries.values().filter(|entry| entry.backend.state == state).count()
     }
 
-    /// A copy of one record, to be sent to other nodes.
+    /// A copy of one record.
     pub(crate) fn get(&self, now: Millis, id: &str) -> Option<Backend> {
         self.entries.get(id).map(|entry| entry.snapshot(now))
     }
 
+    /// A copy of one record, to be sent to other nodes unless it is quarantined.
+    pub(super) fn get_unquarantined(&self, now: Millis, id: &str) -> Option<Backend> {
+        self.entries.get(id).filter(|entry| !entry.is_quarantined).map(|entry| entry.snapshot(now))
+    }
+
     fn unquarantined(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values().filter(|entry| !entry.is_quarantined)
     }
@@ -245,20 +277,36 @@
     pub(crate) fn digests(&self) -> [u32; DIGEST_RANGES] {
         let mut digests = [0; DIGEST_RANGES];
         for entry in self.unquarantined() {
-            digests[entry.backend.range()] ^= entry.backend.digest() as u32;
+            digests[entry.range] ^= entry.hash();
         }
         digests
     }
 
     /// The digest of all records that are not quarantined.
     pub(crate) fn digest(&self) -> u64 {
-        self.unquarantined().fold(0, |all, entry| all ^ entry.backend.digest())
+        self.unquarantined().fold(0, |all, entry| all ^ entry.digest)
     }
 
     /// The records of the ranges whose digests differ from a peer's.
-    pub(crate) fn differing(&self, now: Millis, peer: &[u32; DIGEST_RANGES]) -> Vec<Backend> {
+    pub(super) fn differing(&self, now: Millis, peer: &[u32; DIGEST_RANGES]) -> Vec<Backend> {
         let own = self.digests();
-        let differs = |entry: &&Entry| own[entry.backend.range()] != peer[entry.backend.range()];
+        let differs = |entry: &&Entry| own[entry.range] != peer[entry.range];
         self.unquarantined().filter(differs).map(|entry| entry.snapshot(now)).collect()
     }
+
+    /// The hashes of all records that are not quarantined, by range.
+    pub(super) fn hashes(&self) -> [Vec<u32>; DIGEST_RANGES] {
+        let mut hashes: [Vec<u32>; DIGEST_RANGES] = Default::default();
+        for entry in self.unquarantined() {
+            hashes[entry.range].push(entry.hash());
+        }
+        hashes
+    }
+
+    /// The records of the listed ranges that a peer with these records lacks.
+    pub(super) fn lacking(&self, now: Millis, peer: &RecordHashes) -> Vec<Backend> {
+        let known: HashSet<u32> = peer.hashes().collect();
+        let lacks = |entry: &&Entry| peer.has_range(entry.range) && !known.contains(&entry.hash());
+        self.unquarantined().filter(lacks).map(|entry| entry.snapshot(now)).collect()
+    }
 }
--- a/crates/brassport-control-plane/src/confirmations.rs
+++ b/crates/brassport-control-plane/src/confirmations.rs
@@ -16,7 +16,8 @@
 
 /// How long a call waits for confirmations. Its caller times out after one second.
 const TIMEOUT_MS: Millis = 900;
-/// Interval between two requests to the core nodes that have not confirmed.
+/// Time until the second request to the core nodes that have not confirmed. It doubles with each further request, so
+/// that requests about many backends at once do not saturate the links of the core.
 const RETRY_INTERVAL_MS: Millis = 120;
 /// Maximum number of confirmed departures to remember, so that a repeated call is answered at once.
 const MAX_CONFIRMED_DEPARTURES: usize = 10_000;
@@ -28,7 +29,8 @@
     record: Backend,
     confirmed_by: BTreeSet<Ipv4Addr>,
     since: Millis,
-    requested_at: Option<Millis>,
+    next_request_at: Millis,
+    retry_interval_ms: Millis,
 }
 
 /// The next step for a pending call.
@@ -41,13 +43,24 @@
 }
 
 impl Pending {
+    /// The next request. The first one contains only the departure, which is short. Later ones contain the complete
+    /// record, which nodes of earlier releases need.
+    fn request(&self, number: u64) -> PeerMessage {
+        match self.record.departure() {
+            Some(departure) if self.retry_interval_ms == RETRY_INTERVAL_MS => {
+                PeerMessage::ConfirmDeparture(number, departure)
+            }
+            _ => PeerMessage::BackendRecords(vec![self.record.clone()], Some(number)),
+        }
+    }
+
     fn next_step(&self, now: Millis, core: &[Ipv4Addr], is_log_current: bool) -> NextStep {
         let confirmed = core.iter().filter(|ip| self.confirmed_by.contains(ip)).count();
         if confirmed > core.len() / 2 && is_log_current {
             NextStep::Confirm
         } else if now >= self.since + TIMEOUT_MS {
             NextStep::TimeOut
-        } else if self.requested_at.is_none_or(|at| now >= at + RETRY_INTERVAL_MS) {
+        } else if now >= self.next_request_at {
             NextStep::Request
         } else {
             NextStep::Wait
@@ -117,7 +130,10 @@
         let own = self.options.node.ip;
         let confirmed_by = self.core().into_iter().filter(|ip| *ip == own).collect();
         let since = self.clock.now();
-        self.confirmations.begin(Pending { call, record, confirmed_by, since, requested_at: None });
+        let retry_interval_ms = RETRY_INTERVAL_MS;
+        let pending =
+            Pending { call, record, confirmed_by, since, next_request_at: since, retry_interval_ms };
+        self.confirmations.begin(pending);
         self.review_confirmations();
     }
 
@@ -151,8 +167,9 @@
 
     fn request_confirmation(&mut self, number: u64, core: &[Ipv4Addr]) {
         let Some(pending) = self.confirmations.pending.get_mut(&number) else { return };
-        pending.requested_at = Some(self.clock.now());
-        let message = PeerMessage::BackendRecords(vec![pending.record.clone()], Some(number));
+        let message = pending.request(number);
+        pending.next_request_at = self.clock.now() + pending.retry_interval_ms;
+        pending.retry_interval_ms *= 2;
         for ip in core.iter().filter(|ip| !pending.confirmed_by.contains(ip)) {
             self.outbox.send(*ip, message.clone());
         }
--- a/crates/brassport-control-plane/src/control_plane.rs
+++ b/crates/brassport-control-plane/src/control_plane.rs
@@ -94,6 +94,7 @@
             Event::SeedsChanged(seeds) => self.options.seeds = seeds,
             Event::Shutdown => self.begin_shutdown(),
         }
+        self.push_changes_when_due();
         self.follow_leadership();
         self.outbox.drain()
     }
@@ -138,6 +139,8 @@
         self.log_sync.expire(&self.contacts);
         self.gossip_when_due();
         self.expire_backends();
+        self.push_changes();
+        self.backends.repair.refill();
         self.retransmit_entries();
         self.maintain_snapshots();
         self.drop_quarantined();
@@ -173,6 +176,12 @@
             PeerMessage::FetchSnapshotChunk(id, offset) => self.on_fetch_chunk(from, id, offset),
             PeerMessage::TableDigests(digests) => self.on_table_digests(from, &digests),
             PeerMessage::BackendRecords(records, number) => self.on_records(from, records, number),
+            PeerMessage::Departures(departures) => self.on_departures(from, departures, None),
+            PeerMessage::ConfirmDeparture(number, departure) => {
+                self.on_departures(from, vec![departure], Some(number));
+            }
+            PeerMessage::RecordHashes(hashes) => self.on_record_hashes(from, &hashes),
+            PeerMessage::LackingRecords(lacking) => self.on_lacking_records(lacking),
             PeerMessage::RecordsConfirmed(number, index) => self.on_records_confirmed(number, from, index),
             PeerMessage::Bootstrap(quota_shares) => self.on_bootstrap(quota_shares),
             PeerMessage::JoinRequest(disk, index) => self.on_join_request(from, disk, index),
--- a/crates/brassport-control-plane/src/event.rs
+++ b/crates/brassport-control-plane/src/event.rs
@@ -62,7 +62,8 @@
     Respond(u64, Reply),
     /// The replicated state has advanced to this one.
     StateAdvanced(Arc<ReplicatedState>),
-    /// A backend is new, or its record has changed.
+    /// A backend is new, or its record has changed. Of a backend that drains or has terminated, only the name and the
+    /// state may be known.
     BackendChanged(Backend),
     /// The backend with this ID was removed from the endpoint table: its lease expired, or no node confirmed it after
     /// this node had been isolated.
--- a/crates/brassport-control-plane/src/gossip.rs
+++ b/crates/brassport-control-plane/src/gossip.rs
@@ -2,7 +2,7 @@
 //! of the endpoint table.
 
 use crate::contacts::CONTACT_MS;
-use crate::control_plane::ControlPlane;
+use crate::control_plane::{ControlPlane, FULL_BROADCAST_PEERS};
 use crate::peer_message::{Gossip, LeaderHint, PeerMessage};
 use crate::Millis;
 use brassport_transport::peer_sampling::AgedRecord;
@@ -16,6 +16,13 @@
 const BOOTSTRAP_INTERVAL_MS: Millis = 60;
 /// Interval while no leader is known: the node was partitioned, or an election is in progress.
 const LEADERLESS_INTERVAL_MS: Millis = 150;
+/// Interval of additional exchanges in a large cluster while backends come and go: two ticks. A push misses some nodes
+/// there, which learn of the change by an exchange.
+const CHURN_INTERVAL_MS: Millis = 120;
+/// One of this many additional exchanges contacts a core node.
+const CORE_EXCHANGE_INTERVAL: usize = 4;
+/// Time after a change of the endpoint table, or a difference from a peer's, in which [`CHURN_INTERVAL_MS`] applies.
+const CHURN_MS: Millis = 1_000;
 /// A change of a backend makes the next exchange due this much earlier.
 const BRING_FORWARD_MS: Millis = 250;
 /// With fewer known peers than this, the partial view is too small to discover the others through it.
@@ -43,12 +50,22 @@
     last: Millis,
     has_begun: bool,
     turn: usize,
+    /// When the last exchange of any kind began.
+    last_exchange: Millis,
+    /// Number of additional exchanges.
+    additional: usize,
 }
 
 impl GossipSchedule {
     /// The first turn depends on the seed, so that nodes that start together do not all contact the same peer.
     pub(crate) fn new(seed: u64) -> GossipSchedule {
-        GossipSchedule { last: 0, has_begun: false, turn: seed as usize % 7 }
+        GossipSchedule {
+            last: 0,
+            has_begun: false,
+            turn: seed as usize % 7,
+            last_exchange: 0,
+            additional: seed as usize % 7,
+        }
     }
 
     /// Returns the number of the next turn, if an exchange is due.
@@ -56,11 +73,21 @@
         if self.has_begun && now < self.last + interval {
             return None;
         }
-        (self.last, self.has_begun) = (now, true);
+        (self.last, self.has_begun, self.last_exchange) = (now, true, now);
         self.turn += 1;
         Some(self.turn)
     }
 
+    /// Returns the number of the next additional exchange, if one is due.
+    fn take_additional(&mut self, now: Millis) -> Option<usize> {
+        if now < self.last_exchange + CHURN_INTERVAL_MS {
+            return None;
+        }
+        self.last_exchange = now;
+        self.additional += 1;
+        Some(self.additional)
+    }
+
     /// Makes the next exchange due earlier, after the endpoint table has changed.
     pub(crate) fn bring_forward(&mut self) {
         self.last = self.last.saturating_sub(BRING_FORWARD_MS);
@@ -72,7 +99,9 @@
     /// core node is in contact; and with the seeds while few peers are known, and every [`SEED_INTERVAL_TURNS`] turns.
     pub(crate) fn gossip_when_due(&mut self) {
         let interval = self.gossip_interval();
-        let Some(turn) = self.gossip.take_turn(self.clock.now(), interval) else { return };
+        let Some(turn) = self.gossip.take_turn(self.clock.now(), interval) else {
+            return self.begin_additional_exchange();
+        };
         let core = self.core_peers();
         let is_isolated = !core.iter().any(|ip| self.contacts.is_in_contact(*ip, self.clock.now()));
         let mut to: BTreeSet<Ipv4Addr> =
@@ -88,6 +117,24 @@
         to.into_iter().for_each(|ip| self.gossip_to(ip, Exchange::Begin));
     }
 
+    /// Begins an additional exchange in a large cluster while backends come and go. Most partners are peers of the node's
+    /// zone, so that the load does not concentrate on the core.
+    fn begin_additional_exchange(&mut self) {
+        if self.view.len() <= FULL_BROADCAST_PEERS || !self.has_churn() {
+            return;
+        }
+        let Some(number) = self.gossip.take_additional(self.clock.now()) else { return };
+        let core = self.core_peers();
+        let partner = if number.is_multiple_of(CORE_EXCHANGE_INTERVAL) && !core.is_empty() {
+            Some(core[number / CORE_EXCHANGE_INTERVAL % core.len()])
+        } else {
+            self.near_partner()
+        };
+        if let Some(ip) = partner {
+            self.gossip_to(ip, Exchange::Begin);
+        }
+    }
+
     fn gossip_interval(&self) -> Millis {
         if self.view.len() < MIN_KNOWN_PEERS {
             BOOTSTRAP_INTERVAL_MS
@@ -98,6 +145,12 @@
         }
     }
 
+    /// Whether this node's table has changed, or differed from a peer's, within [`CHURN_MS`].
+    fn has_churn(&self) -> bool {
+        let since = self.clock.now().saturating_sub(CHURN_MS);
+        self.backends.table.has_changed_since(since) || self.backends.repair.has_differed_since(since)
+    }
+
     /// The peer for a turn. Turns alternate between the core and all peers; some turns of each cycle reach other zones.
     fn exchange_partner(&mut self, turn: usize, core: &[Ipv4Addr], is_isolated: bool) -> Option<Ipv4Addr> {
         let is_any_zone_turn = turn % TURNS_PER_CYCLE < ANY_ZONE_TURNS;
@@ -114,6 +167,11 @@
         if is_any_zone_turn {
             return self.view.sample(1, |_| true).pop();
         }
+        self.near_partner()
+    }
+
+    /// A random peer of this node's zone that is in contact; if there is none, a random peer.
+    fn near_partner(&mut self) -> Option<Ipv4Addr> {
         let (now, contacts, zone) = (self.clock.now(), &self.contacts, &self.options.node.zone);
         let near =
             self.view.sample(1, |peer| peer.zone == *zone && contacts.is_in_contact(peer.ip, now)).pop();
--- a/crates/brassport-control-plane/src/isolation.rs
+++ b/crates/brassport-control-plane/src/isolation.rs
@@ -104,10 +104,8 @@
         // each node also sends the records of the backends that send it heartbeats.
         self.backends.repair.reset();
         self.gossip_to(from, Exchange::Begin);
-        let received = self.backends.table.with_heartbeat_since(now, self.heartbeat_window_start());
-        if !received.is_empty() {
-            self.disseminate(&received);
-        }
+        let received = self.backends.table.with_heartbeat_since(self.heartbeat_window_start());
+        received.iter().for_each(|id| self.disseminate(id));
     }
 
     fn quarantine_backends(&mut self) {
--- a/crates/brassport-control-plane/src/lib.rs
+++ b/crates/brassport-control-plane/src/lib.rs
@@ -45,6 +45,7 @@
 #![deny(missing_docs)]
 
 pub mod backends;
+mod byte_string;
 pub mod call;
 mod clock;
 mod confirmations;
--- a/crates/brassport-control-plane/src/peer_message.rs
+++ b/crates/brassport-control-plane/src/peer_message.rs
@@ -1,7 +1,7 @@
 //! Messages between the nodes of the cluster. To keep them small on the wire, enum variants have one-letter names and
 //! most structs are encoded as arrays without field names.
 
-use crate::backends::{Backend, DIGEST_RANGES};
+use crate::backends::{Backend, Departure, RecordHashes, DIGEST_RANGES};
 use crate::ring_rank::Rank;
 use crate::snapshots::{SnapshotChunk, SnapshotId};
 use brassport_config_store::consensus::{CommittedEntry, Message};
@@ -45,12 +45,25 @@
     #[serde(rename = "k")]
     FetchSnapshotChunk(SnapshotId, u64),
     /// The digests of the ranges of the sender's endpoint table. The receiver answers with the records of the ranges
-    /// whose digests differ.
+    /// whose digests differ, as far as they fit into one answer. Sent for peers of a release without
+    /// [`RecordHashes`](PeerMessage::RecordHashes).
     #[serde(rename = "r")]
     TableDigests([u32; DIGEST_RANGES]),
     /// Records of backends. If a number is given, the receiver confirms them under that number.
     #[serde(rename = "b")]
     BackendRecords(Vec<Backend>, Option<u64>),
+    /// Departures of backends, pushed in place of complete records when many backends leave at once.
+    #[serde(rename = "x")]
+    Departures(Vec<Departure>),
+    /// A departure that the receiver confirms under this number.
+    #[serde(rename = "y")]
+    ConfirmDeparture(u64, Departure),
+    /// The hashes of the sender's records. The receiver answers with the records that the sender lacks.
+    #[serde(rename = "v")]
+    RecordHashes(RecordHashes),
+    /// The answer to [`RecordHashes`](PeerMessage::RecordHashes).
+    #[serde(rename = "w")]
+    LackingRecords(LackingRecords),
     /// The records with this number were merged, by a node that has applied the log up to this index.
     #[serde(rename = "a")]
     RecordsConfirmed(u64, LogIndex),
@@ -97,6 +110,17 @@
     pub wants_reply: bool,
 }
 
+/// The records that a node lacks, as far as they fit into one answer.
+#[derive(Debug, Clone, PartialEq, Serialize_tuple, Deserialize_tuple)]
+pub struct LackingRecords {
+    /// The departures.
+    pub departures: Vec<Departure>,
+    /// The records of backends that do not leave.
+    pub records: Vec<Backend>,
+    /// Whether the answer contains all records that the node lacks.
+    pub is_complete: bool,
+}
+
 /// The leader as known to a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct LeaderHint {
--- a/crates/brassport-control-plane/src/snapshots/chunk.rs
+++ b/crates/brassport-control-plane/src/snapshots/chunk.rs
@@ -28,37 +28,10 @@
     #[serde(rename = "o")]
     pub offset: u64,
     /// The contents of the chunk.
-    #[serde(rename = "b", with = "bytes")]
+    #[serde(rename = "b", with = "crate::byte_string")]
     pub bytes: Vec<u8>,
 }
 
-/// Encodes a chunk as a CBOR byte string instead of serde's default, an array of numbers.
-mod bytes {
-    use serde::{de, Deserializer, Serializer};
-    use std::fmt;
-
-    pub fn serialize<S: Serializer>(bytes: &[u8], to: S) -> Result<S::Ok, S::Error> {
-        to.serialize_bytes(bytes)
-    }
-
-    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u8>, D::Error> {
-        struct Bytes;
-        impl de::Visitor<'_> for Bytes {
-            type Value = Vec<u8>;
-            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str("bytes")
-            }
-            fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
-                Ok(bytes.to_vec())
-            }
-            fn visit_byte_buf<E: de::Error>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
-                Ok(bytes)
-            }
-        }
-        from.deserialize_byte_buf(Bytes)
-    }
-}
-
 /// The digest of a snapshot's bytes: the first 128 bits of their SHA-256.
 pub(super) fn digest(bytes: &[u8]) -> u128 {
     let hash = Sha256::digest(bytes);
--- a/crates/brassport-control-plane/tests/it/golden/messages.rs
+++ b/crates/brassport-control-plane/tests/it/golden/messages.rs
@@ -24,6 +24,10 @@
         PeerMessage::FetchSnapshotChunk(..) => "fetch_snapshot",
         PeerMessage::TableDigests(..) => "ranges",
         PeerMessage::BackendRecords(..) => "backends",
+        PeerMessage::Departures(..) => "departures",
+        PeerMessage::ConfirmDeparture(..) => "confirm_departure",
+        PeerMessage::RecordHashes(..) => "hashes",
+        PeerMessage::LackingRecords(..) => "lacking",
         PeerMessage::RecordsConfirmed(..) => "confirmed",
         PeerMessage::Bootstrap(..) => "bootstrap",
         PeerMessage::JoinRequest(..) => "join",
@@ -36,7 +40,7 @@
     }
 }
 /// Number of arms in [`name_of`].
-pub const VARIANTS: usize = 17;
+pub const VARIANTS: usize = 21;
 
 pub fn consensus_name(message: &Message) -> &'static str {
     match message {
@@ -112,10 +116,36 @@
             "to be confirmed",
             PeerMessage::BackendRecords(vec![backend(BackendState::Terminated)], Some(1 << 40)),
         ),
+        ("", PeerMessage::Departures(departures())),
+        ("", PeerMessage::ConfirmDeparture(1 << 40, departures().remove(1))),
+        ("", PeerMessage::RecordHashes(record_hashes())),
+        (
+            "",
+            PeerMessage::LackingRecords(LackingRecords {
+                departures: departures(),
+                records: vec![backend(BackendState::Ready)],
+                is_complete: false,
+            }),
+        ),
         ("", PeerMessage::RecordsConfirmed(1 << 40, LogIndex(300))),
     ]
 }
 
+fn departures() -> Vec<Departure> {
+    let states = [BackendState::Unresponsive, BackendState::Draining, BackendState::Terminated];
+    let departure = |state| Departure { id: "i-7f3a".to_owned(), state, call_count: 8, age_ms: 40 };
+    states.map(departure).to_vec()
+}
+
+/// The hashes of a table with one record in each range.
+fn record_hashes() -> RecordHashes {
+    let mut by_range: [Vec<u32>; DIGEST_RANGES] = Default::default();
+    for (place, hashes) in (0_u32..).zip(&mut by_range) {
+        hashes.push(place.wrapping_mul(0x1234_5677));
+    }
+    RecordHashes::messages(&by_range).remove(0)
+}
+
 pub fn leader_messages() -> Vec<(&'static str, PeerMessage)> {
     vec![
         ("", PeerMessage::Bootstrap(10)),
--- a/crates/brassport-control-plane/tests/it/golden/mod.rs
+++ b/crates/brassport-control-plane/tests/it/golden/mod.rs
@@ -10,9 +10,11 @@
 use brassport_config_store::consensus::{
     AcceptedEntry, ChangeScope, CommittedEntry, ConfigurationRequest, DurableState, Entry, Message, VoterId,
 };
-use brassport_control_plane::backends::{Backend, BackendState, DIGEST_RANGES};
+use brassport_control_plane::backends::{Backend, BackendState, Departure, RecordHashes, DIGEST_RANGES};
 use brassport_control_plane::call::{Call, Reply};
-use brassport_control_plane::peer_message::{Envelope, Gossip, GrantResponse, LeaderHint, PeerMessage};
+use brassport_control_plane::peer_message::{
+    Envelope, Gossip, GrantResponse, LackingRecords, LeaderHint, PeerMessage,
+};
 use brassport_control_plane::ring_rank::Rank;
 use brassport_control_plane::{
     Action, ControlPlane, Event, FaultTolerance, Millis, Options, SnapshotChunk, SnapshotId,
--- a/crates/brassport-control-plane/tests/it/main.rs
+++ b/crates/brassport-control-plane/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod catch_up;
 mod closing_faults;
 mod configuration_latency;
+mod departure_latency;
 mod fault_tolerance;
 mod golden;
 #[cfg(feature = "mutants")]
--- a/crates/brassport-control-plane/tests/it/sim/host.rs
+++ b/crates/brassport-control-plane/tests/it/sim/host.rs
@@ -1,5 +1,6 @@
 //! One simulated machine: its process, its disk, and its network connections.
 
+use super::network::Link;
 use super::script::{Millis, Setup};
 use super::store::Store;
 use brassport_control_plane::ControlPlane;
@@ -26,8 +27,10 @@
     pub blocked_senders: BTreeSet<usize>,
     /// Until this time, messages sent by the machine are delayed by the second value.
     pub send_delay: (Millis, Millis),
-    /// When the machine's link has sent all messages so far.
-    pub link_free_at: Millis,
+    /// The direction of the machine's link that carries the messages it sends.
+    pub uplink: Link,
+    /// The direction that carries the messages it receives.
+    pub downlink: Link,
 }
 
 impl Host {
@@ -48,7 +51,8 @@
             seeds: setup.seeds.clone(),
             blocked_senders: BTreeSet::new(),
             send_delay: (0, 0),
-            link_free_at: 0,
+            uplink: Link::default(),
+            downlink: Link::default(),
         }
     }
 }
--- a/crates/brassport-control-plane/tests/it/sim/invariants.rs
+++ b/crates/brassport-control-plane/tests/it/sim/invariants.rs
@@ -18,12 +18,34 @@
 /// Time after the core's last fault until any machine is in contact.
 const CORE_RECOVERY_MS: Millis = 3_000;
 
+/// The way by which a machine learns of a change of a backend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum UpdateWay {
+    /// The backend's own call to the machine.
+    Call,
+    /// A request to confirm the record, sent to the core.
+    Confirmation,
+    /// The first send of a change, or its forwarding.
+    Push,
+    /// The answer to a comparison of tables.
+    Repair,
+    /// A timer of the machine itself.
+    Timer,
+}
+
 /// The observed state of one machine.
 #[derive(Default)]
 struct ObservedNode {
     is_running: bool,
     state: Option<Arc<ReplicatedState>>,
     backends: BTreeMap<String, BackendState>,
+    /// Backends that this machine still lists as live, although their departure was acknowledged.
+    lagging: BTreeSet<String>,
+    /// How long this machine listed each backend as live after the acknowledgement of its departure, and how it learned
+    /// of the departure.
+    departures_learned: BTreeMap<String, (Millis, UpdateWay)>,
+    /// When this machine learned that the heartbeats of a backend have stopped.
+    silences_learned: BTreeMap<String, Millis>,
     /// When its last fault ended or will end.
     fault_until: Millis,
     /// Violations that were reported already.
@@ -40,7 +62,10 @@
     pub acknowledged: Vec<(u32, RequestDigest, u32, Millis)>,
     rejected: BTreeMap<RequestDigest, String>,
     applied_requests: BTreeSet<RequestDigest>,
-    acknowledged_departures: Vec<(String, Millis)>,
+    /// The time of the first acknowledgement that a backend drains or has terminated.
+    acknowledged_departures: BTreeMap<String, Millis>,
+    /// When a machine first noticed that the heartbeats of a backend have stopped.
+    noticed_silences: BTreeMap<String, Millis>,
     /// When each machine first applied each version.
     first_applied: BTreeMap<(usize, u32), Millis>,
     /// The sets of voters, each with the time at which it was first applied.
@@ -58,7 +83,8 @@
             acknowledged: Vec::new(),
             rejected: BTreeMap::new(),
             applied_requests: BTreeSet::new(),
-            acknowledged_departures: Vec::new(),
+            acknowledged_departures: BTreeMap::new(),
+            noticed_silences: BTreeMap::new(),
             first_applied: BTreeMap::new(),
             voters: Vec::new(),
             violations: Vec::new(),
@@ -177,12 +203,50 @@
         }
     }
 
-    pub fn on_backend_changed(&mut self, node: usize, backend: Backend) {
-        self.nodes[node].backends.insert(backend.id, backend.state);
+    pub fn on_backend_changed(&mut self, node: usize, backend: Backend, way: UpdateWay, now: Millis) {
+        if backend.state == BackendState::Unresponsive {
+            self.noticed_silences.entry(backend.id.clone()).or_insert(now);
+            self.nodes[node].silences_learned.entry(backend.id.clone()).or_insert(now);
+        }
+        let acknowledged_at = self.acknowledged_departures.get(&backend.id).copied();
+        let observed = &mut self.nodes[node];
+        let was_live = observed.backends.insert(backend.id.clone(), backend.state).is_some_and(is_live);
+        if is_live(backend.state) {
+            if acknowledged_at.is_some() {
+                observed.lagging.insert(backend.id);
+            }
+        } else if was_live {
+            observed.lagging.remove(&backend.id);
+            let delay = acknowledged_at.map_or(0, |at| now.saturating_sub(at));
+            observed.departures_learned.insert(backend.id, (delay, way));
+        }
     }
 
     pub fn on_backend_expired(&mut self, node: usize, id: &str) {
         self.nodes[node].backends.remove(id);
+        self.nodes[node].lagging.remove(id);
+    }
+
+    /// How long each machine listed each leaving backend as live after the acknowledgement, and how it learned of the
+    /// departure. `None`: it still lists the backend.
+    pub fn departure_delays(&self) -> Vec<Option<(Millis, UpdateWay)>> {
+        let learned = |observed: &ObservedNode| {
+            let lagging = observed.lagging.iter().map(|_| None);
+            let learned = observed.departures_learned.values().map(|learned| Some(*learned));
+            lagging.chain(learned).collect::<Vec<_>>()
+        };
+        self.nodes.iter().flat_map(learned).collect()
+    }
+
+    /// For each backend whose heartbeats have stopped and each running machine: the time until the machine learned of
+    /// it after the first machine noticed. `None`: it never did.
+    pub fn silence_delays(&self) -> Vec<Option<Millis>> {
+        let learned = |observed: &ObservedNode| {
+            let since =
+                |(id, at): (&String, &Millis)| observed.silences_learned.get(id).map(|learned| learned - at);
+            self.noticed_silences.iter().map(since).collect::<Vec<_>>()
+        };
+        self.nodes.iter().filter(|observed| observed.is_running).flat_map(learned).collect()
     }
 
     pub fn on_request_acknowledged(
@@ -217,7 +281,12 @@
 
     /// Records that a backend's drain or deregistration was acknowledged.
     pub fn on_departure_acknowledged(&mut self, id: &str, now: Millis) {
-        self.acknowledged_departures.push((id.to_owned(), now));
+        self.acknowledged_departures.entry(id.to_owned()).or_insert(now);
+        for observed in &mut self.nodes {
+            if observed.backends.get(id).copied().is_some_and(is_live) {
+                observed.lagging.insert(id.to_owned());
+            }
+        }
     }
 
     pub fn is_in_contact(&self, node: usize, now: Millis) -> bool {
@@ -231,12 +300,6 @@
         let due = |at: Millis| now >= at + PROPAGATION_BOUND_MS;
         let newest = self.acknowledged.iter().filter(|(.., at)| due(*at)).map(|(version, ..)| *version).max();
         let newest = newest.unwrap_or_default();
-        let departures: Vec<String> = self
-            .acknowledged_departures
-            .iter()
-            .filter(|(_, at)| due(*at))
-            .map(|(id, _)| id.clone())
-            .collect();
         for node in 0..self.nodes.len() {
             if !self.is_in_contact(node, now) {
                 continue;
@@ -245,12 +308,10 @@
             if self.version(node) < newest {
                 violations.push(format!("machine {node} is in contact and has not applied v{newest}"));
             }
-            for id in &departures {
+            let is_due = |id: &&String| self.acknowledged_departures.get(*id).is_some_and(|at| due(*at));
+            for id in self.nodes[node].lagging.iter().filter(is_due) {
                 let state = self.backend_state(node, id);
-                if matches!(state, Some(BackendState::Ready | BackendState::Unresponsive)) {
-                    violations
-                        .push(format!("machine {node} is in contact and has backend {id} as {state:?}"));
-                }
+                violations.push(format!("machine {node} is in contact and has backend {id} as {state:?}"));
             }
             for violation in violations {
                 if self.nodes[node].reported.insert(violation.clone()) {
@@ -272,6 +333,11 @@
     }
 }
 
+/// Whether requests may be sent to a backend in this state.
+fn is_live(state: BackendState) -> bool {
+    matches!(state, BackendState::Ready | BackendState::Unresponsive)
+}
+
 fn describe_difference(one: &ReplicatedState, other: &ReplicatedState) -> String {
     let text = |state: &ReplicatedState| format!("v{} voters {:?}", state.version(), state.voters);
     format!("{} and {}", text(one), text(other))
--- a/crates/brassport-control-plane/tests/it/sim/mod.rs
+++ b/crates/brassport-control-plane/tests/it/sim/mod.rs
@@ -17,12 +17,12 @@
 pub use corruption::is_corrupt_snapshot_installed;
 
 use brassport_control_plane::call::{Call, Reply};
-use brassport_control_plane::peer_message::Envelope;
+use brassport_control_plane::peer_message::{Envelope, PeerMessage};
 use brassport_control_plane::{Action, ControlPlane, Event};
 use brassport_types::Incarnation;
 use callers::Callers;
 use host::Host;
-use invariants::InvariantChecker;
+use invariants::{InvariantChecker, UpdateWay};
 use oorandom::Rand64;
 use script::{Line, Millis, Script, Setup};
 use std::collections::{BTreeMap, BTreeSet};
@@ -75,6 +75,8 @@
     loss: u64,
     duplication: (u64, Millis),
     pub reply_loss: u64,
+    /// Whether all pushed changes of backends are lost.
+    pub loses_pushes: bool,
     pub names: BTreeMap<String, usize>,
     pub callers: Callers,
     pub invariants: InvariantChecker,
@@ -128,6 +130,7 @@
             loss: 0,
             duplication: (0, 0),
             reply_loss: 0,
+            loses_pushes: false,
             names: BTreeMap::new(),
             callers: Callers::default(),
             ended: Vec::new(),
@@ -246,6 +249,7 @@
     /// Passes an event to the control plane of a machine, if its process runs, and executes the actions.
     pub fn handle(&mut self, node: usize, event: Event) {
         let now = self.now - self.machines[node].started_at;
+        let way = update_way(&event);
         let Some(control) = &mut self.machines[node].control else { return };
         for action in control.handle(now, event) {
             match action {
@@ -264,7 +268,9 @@
                     }
                 }
                 Action::StateAdvanced(state) => self.invariants.on_state_applied(node, &state, self.now),
-                Action::BackendChanged(backend) => self.invariants.on_backend_changed(node, backend),
+                Action::BackendChanged(backend) => {
+                    self.invariants.on_backend_changed(node, backend, way, self.now);
+                }
                 Action::BackendExpired(id) => self.invariants.on_backend_expired(node, &id),
                 Action::QuotaGranted(_) => {}
             }
@@ -308,3 +314,18 @@
         self.invariants.check(self.now);
     }
 }
+
+/// How a machine learns of the changes of backends that an event causes.
+fn update_way(event: &Event) -> UpdateWay {
+    match event {
+        Event::Call(..) => UpdateWay::Call,
+        Event::PeerMessage(Envelope { message, .. }) => match message {
+            PeerMessage::BackendRecords(_, Some(_)) | PeerMessage::ConfirmDeparture(..) => {
+                UpdateWay::Confirmation
+            }
+            PeerMessage::LackingRecords(_) => UpdateWay::Repair,
+            _ => UpdateWay::Push,
+        },
+        _ => UpdateWay::Timer,
+    }
+}
--- a/crates/brassport-control-plane/tests/it/sim/network.rs
+++ b/crates/brassport-control-plane/tests/it/sim/network.rs
@@ -4,6 +4,14 @@
 use super::{incarnation, ip, Sim, SimEvent};
 use brassport_config_store::consensus::{Entry, Message};
 use brassport_control_plane::peer_message::{Envelope, PeerMessage};
+use brassport_transport::frame;
+
+/// Longer messages are sent over a connection.
+const MAX_DATAGRAM_BYTES: u64 = 1_200 + OVERHEAD_BYTES;
+/// A datagram is lost if it would wait longer than this on a link.
+const MAX_DATAGRAM_WAIT_MS: Millis = 200;
+/// The envelope of a message, and the headers of its packets, in bytes.
+const OVERHEAD_BYTES: u64 = 60;
 
 impl Sim {
     /// Whether `to` receives messages from `from`.
@@ -15,16 +23,19 @@
         if let PeerMessage::Entries(entries) = &message {
             self.invariants.on_entries_sent(from, entries, self.now);
         }
-        if to >= self.machines.len() || !self.can_receive(from, to) {
+        let is_push = matches!(message, PeerMessage::BackendRecords(_, None) | PeerMessage::Departures(_));
+        if to >= self.machines.len() || !self.can_receive(from, to) || (is_push && self.loses_pushes) {
             return;
         }
         let same = self.machines[from].zone == self.machines[to].zone;
         let mut delay = if same { 1 } else { self.setup.zone_latency } + self.draw(2);
         if let Some(mbit) = self.setup.link_mbit {
             let bytes = size(&message);
-            let free = &mut self.machines[from].link_free_at;
-            *free = (*free).max(self.now) + bytes * 8 / (mbit * 1_000);
-            delay += *free - self.now;
+            let Some(sent) = self.machines[from].uplink.carry(self.now, bytes, mbit) else { return };
+            // Its first bytes arrive while the last ones are being sent.
+            let first_at = sent.saturating_sub(bytes * 8 / (mbit * 1_000)) + delay;
+            let Some(received) = self.machines[to].downlink.carry(first_at, bytes, mbit) else { return };
+            delay = received.max(sent + delay) - self.now;
         }
         if self.now < self.machines[from].send_delay.0 {
             delay += self.machines[from].send_delay.1;
@@ -71,6 +82,28 @@
     }
 }
 
+/// One direction of a machine's link.
+#[derive(Debug, Default)]
+pub struct Link {
+    /// When it has carried all bytes so far, in microseconds.
+    free_at_us: u64,
+    /// The bytes that it has carried.
+    pub bytes: u64,
+}
+
+impl Link {
+    /// Carries a message that is there at a time. Returns when its last byte has passed; `None` for a datagram
+    /// that is dropped, since too many bytes wait.
+    fn carry(&mut self, at: Millis, bytes: u64, mbit: u64) -> Option<Millis> {
+        if bytes <= MAX_DATAGRAM_BYTES && self.free_at_us > (at + MAX_DATAGRAM_WAIT_MS) * 1_000 {
+            return None;
+        }
+        self.bytes += bytes;
+        self.free_at_us = self.free_at_us.max(at * 1_000) + bytes * 8 / mbit;
+        Some(self.free_at_us.div_ceil(1_000))
+    }
+}
+
 /// The approximate size of a message on the wire, in bytes.
 fn size(message: &PeerMessage) -> u64 {
     let of = |entry: &Entry| match entry {
@@ -82,8 +115,7 @@
         PeerMessage::SnapshotChunk(chunk) => chunk.bytes.len(),
         PeerMessage::Consensus(_, Message::Accept { entry, .. }) => of(entry),
         PeerMessage::Consensus(_, Message::Promise { accepted: Some(accepted), .. }) => of(&accepted.entry),
-        PeerMessage::BackendRecords(records, _) => 150 * records.len(),
-        _ => 300,
+        message => frame::encode(message).len(),
     };
-    bytes as u64 + 60
+    bytes as u64 + OVERHEAD_BYTES
 }
--- a/crates/brassport-control-plane/tests/it/sim/script/mod.rs
+++ b/crates/brassport-control-plane/tests/it/sim/script/mod.rs
@@ -4,7 +4,7 @@
 //! ```text
 //! machines 3 disks, 2 plain, zones a b c      machines with disks (the core) come first; zones are assigned in turn
 //! seeds 0 1 2 | survive 1 | seed 7 | up 0 2   seed nodes, tolerated losses, random seed, initially running (default: all)
-//! apart 15ms | sync 5ms | link 2mbit          latency between zones, of disk syncs, and outgoing bandwidth of a machine
+//! apart 15ms | sync 5ms | link 2mbit          latency between zones, of disk syncs, and bandwidth of a machine's link in each direction
 //! lasts 20s                                   duration of the run (default: 6 s after the last timed line)
 //! at 1.5 STATEMENT                            executed at this time, in seconds
 //! when first is kept by 2 STATEMENT           executed once this many disks have the configuration sent as `first`
@@ -54,7 +54,7 @@
     /// One-way latency between zones.
     pub zone_latency: Millis,
     pub sync_latency: Millis,
-    /// Outgoing bandwidth of each machine in Mbit/s; `None`: unlimited.
+    /// Bandwidth of each machine's link in Mbit/s, in each direction; `None`: unlimited.
     pub link_mbit: Option<u64>,
     pub duration: Option<Millis>,
 }
--- a/crates/brassport-data-plane/src/data_plane.rs
+++ b/crates/brassport-data-plane/src/data_plane.rs
@@ -223,7 +223,7 @@
     pub fn update_backend(&self, backend: &Backend) {
         match self.service(&backend.service) {
             Some(service) => self.update_endpoints(&service, |endpoints| endpoints.update(backend)),
-            None if backend.state == BackendState::Terminated => {
+            None if matches!(backend.state, BackendState::Draining | BackendState::Terminated) => {
                 self.unassigned.borrow_mut().remove(&backend.id);
             }
             None => {
