Soak: start nodes with SIGHUP ignored, as a supervisor does that may signal at any time

Cause: between exec and the program's first handler, about 1 ms here, the kernel takes the default action. No program can change that; the handler is already installed before the settings file is read. What is inherited is a signal that the starter ignores.

Change: the testbed starts such a node by a shell that ignores SIGHUP, reports that it does, and becomes the gateway. The test that a SIGHUP while the settings file is rewritten does not end a node (brassport-gateway, process) still starts it plainly.

--- a/crates/brassport-testbed/src/node.rs
+++ b/crates/brassport-testbed/src/node.rs
@@ -3,6 +3,7 @@
 use miette::{miette, IntoDiagnostic, WrapErr};
 use rustix::process::{kill_process, Pid, Signal};
 use std::fs::OpenOptions;
+use std::io::Read;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -26,6 +27,20 @@
     pub metrics: u16,
 }
 
+/// How the process of a node is started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StartMode {
+    /// With the default actions of all signals.
+    #[default]
+    Plain,
+    /// With SIGHUP ignored until the program installs its handler, as a supervisor starts a program that it may signal at
+    /// any time: between `exec` and the handler, the default action would end the process.
+    HangupIgnored,
+}
+
+/// Ignores SIGHUP, writes a line to report that, and becomes the program given by the arguments.
+const IGNORE_HANGUP: &str = "trap '' HUP; echo; exec \"$0\" \"$@\" >/dev/null";
+
 /// A node that runs, or may be started again.
 #[derive(Debug)]
 pub struct Node {
@@ -40,6 +55,7 @@
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    start_mode: StartMode,
     child: Option<Child>,
     last_exit: Option<ExitStatus>,
 }
@@ -62,6 +78,7 @@
             program: program.into(),
             settings: folder.join(format!("{name}.yaml")),
             log: folder.join(format!("{name}.log")),
+            start_mode: StartMode::default(),
             child: None,
             last_exit: None,
         }
@@ -112,14 +129,39 @@
         std::fs::write(&self.settings, settings).into_diagnostic().wrap_err_with(what)?;
         let log = OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.into_diagnostic().wrap_err_with(what)?;
-        let mut command = Command::new(&self.program);
+        let mut command = self.command();
         command.args(["run", "--metrics-port", &self.ports.metrics.to_string()]);
         command.env(SETTINGS_VARIABLE, &self.settings);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        self.child = Some(command.spawn().into_diagnostic().wrap_err_with(what)?);
+        command.stdin(Stdio::null()).stderr(log);
+        let child = self.child.insert(command.spawn().into_diagnostic().wrap_err_with(what)?);
+        if let Some(mut report) = child.stdout.take() {
+            // From here on, a SIGHUP does not end the process.
+            report.read_exact(&mut [0]).into_diagnostic().wrap_err_with(what)?;
+        }
         Ok(())
     }
 
+    /// The command that starts the program, without its arguments.
+    fn command(&self) -> Command {
+        match self.start_mode {
+            StartMode::Plain => {
+                let mut command = Command::new(&self.program);
+                command.stdout(Stdio::null());
+                command
+            }
+            StartMode::HangupIgnored => {
+                let mut command = Command::new("sh");
+                command.args(["-c", IGNORE_HANGUP]).arg(&self.program).stdout(Stdio::piped());
+                command
+            }
+        }
+    }
+
+    /// Sets how the next start starts the process.
+    pub fn set_start_mode(&mut self, mode: StartMode) {
+        self.start_mode = mode;
+    }
+
     /// SIGKILL. Returns when the process has terminated.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/brassport-testbed/tests/it/main.rs
+++ b/crates/brassport-testbed/tests/it/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod full_site;
+mod hangup;
 mod losses;
 mod metrics;
 mod refused;
--- a/crates/brassport-testbed/tests/it/soak.rs
+++ b/crates/brassport-testbed/tests/it/soak.rs
@@ -14,6 +14,7 @@
 use brassport_testbed::faulty_backend::FaultyBackend;
 use brassport_testbed::history::Recorder;
 use brassport_testbed::load::{clients, faulty_clients};
+use brassport_testbed::node::StartMode;
 use brassport_testbed::operator::Operator;
 use brassport_testbed::play::{backend, backends, block_on};
 use brassport_testbed::site::{zone, Layout, Site, GRACE_PERIOD};
@@ -280,6 +281,8 @@
     let layout =
         Layout { counted: COUNTED, others: nodes - COUNTED, program: program.into(), has_relays: false };
     let mut site = Site::new(&layout).expect("free ports");
+    // The soak sends SIGHUP at any time, also before a process has run its first instruction.
+    site.nodes.iter_mut().for_each(|node| node.set_start_mode(StartMode::HangupIgnored));
     let recorder = Recorder::begin();
     site.start_all().expect("the doors start");
     let backends = backends(&site, &recorder).await.expect("backends listen");
