Remember a backend's termination even if its record is older than the lease of terminations

Callers would see: a backend that signed off without `emptying` is used again (DRAIN), for as long as it takes until a node that remembers the deregistration is asked.

Cause: a deregistration has the call count of the record that the answering node has. Where that is the count of the known copy, the lease was not renewed: of a copy older than 30 s it had expired already, so that the termination was forgotten at the next tick, and the copy of a node that had not learned of it was taken for a new backend.

Change: each newer copy renews the lease.

Evidence: records::the_termination_of_an_old_record_is_remembered fails before ("the backend is ready again") and passes.

--- a/crates/brassport-control-plane/src/backends/table.rs
+++ b/crates/brassport-control-plane/src/backends/table.rs
@@ -33,7 +33,7 @@
     digest: u64,
     /// The index of the table range that the record belongs to.
     range: usize,
-    /// When a call of the backend last renewed the lease.
+    /// When a call of the backend, or the latest copy of its record, renewed the lease.
     renewed_at: Millis,
     /// When this node received the last heartbeat; `None` if another node received it.
     heartbeat_at: Option<Millis>,
@@ -94,8 +94,9 @@
             || newer.address != self.backend.address
             || newer.service != self.backend.service;
         let is_renewed = newer.call_count > self.backend.call_count;
+        // A deregistration has no higher call count. Its lease begins with it all the same.
+        self.renewed_at = self.renewed_at.max(times.renewed_at);
         if is_renewed {
-            self.renewed_at = times.renewed_at;
             self.heartbeat_at = times.heartbeat_at;
         }
         if is_renewed || (self.backend.warmup_left_ms == 0 && newer.warmup_left_ms > 0) {
--- a/crates/brassport-control-plane/tests/it/main.rs
+++ b/crates/brassport-control-plane/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod propagation_latency;
 mod quota_shares;
 mod random_schedules;
+mod records;
 mod ring_rank;
 mod scenarios;
 mod voter_replacement;
