--- a/crates/brassport-control-plane/tests/it/records.rs
+++ b/crates/brassport-control-plane/tests/it/records.rs
@@ -77,6 +77,28 @@
     }
 }
 
+/// The record that a node makes for a deregistration if it does not know the backend.
+fn termination_without_details() -> Backend {
+    Backend {
+        service: String::new(),
+        address: "0.0.0.0:0".parse().expect("an address"),
+        zone: String::new(),
+        version: String::new(),
+        capacity: 1,
+        ..record(BackendState::Terminated, 0, 0)
+    }
+}
+
+/// Guards against requests to a backend after its acknowledged deregistration: a node that had just restarted took the
+/// deregistration, and its record without a service erased the service at all other nodes.
+#[test]
+fn a_termination_without_details_keeps_the_details_of_the_record() {
+    let mut node = Node::start();
+    assert_eq!(node.receive(record(BackendState::Ready, 3, 0)).len(), 1);
+    let changes = node.receive(termination_without_details());
+    assert_eq!(changes, [Backend { call_count: 0, ..record(BackendState::Terminated, 0, 0) }]);
+}
+
 /// Guards against a terminated backend that becomes ready again: the termination of a backend whose record was older than
 /// the lease of terminations was forgotten at once, and the copy of a node that had not learned of it was taken for new.
 #[test]
