Proxy: a silent backend ends a streamed response no earlier than the request's deadline

Cause: once a response streams, the deadline no longer ends it, and a fixed time-out of 15 s without progress did, which regards neither the deadline nor the route.

Change: the time-out on the backend's side is the later of 15 s without progress and the request's deadline. A client that does not read is still given 15 s.

--- a/crates/brassport-proxy/src/upstream/attempt.rs
+++ b/crates/brassport-proxy/src/upstream/attempt.rs
@@ -43,7 +43,7 @@
 
     /// Receives a long response after its first bytes have arrived. Called at most once. After this call, neither the
     /// deadline nor cancellation ends the attempt; it ends when the client or the backend ends the transfer, or by the
-    /// stall timeout.
+    /// stall timeout, which for the backend is not earlier than the deadline.
     fn forward(&self, response: Response<ResponseBody>);
 }
 
@@ -297,7 +297,8 @@
         let length = rest.size_hint().exact().map(|left| left + first.len() as u64);
         let (sender, body) = StreamedBody::new(length);
         self.owner.forward(Response::from_parts(head, ResponseBody::Streaming(body)));
-        response::forward(&self.pool.clock, &mut pooled.connection, first, rest, sender).await
+        let deadline = self.target.deadline;
+        response::forward(&self.pool.clock, &mut pooled.connection, first, rest, sender, deadline).await
     }
 
     /// Returns the connection to the pool if it can be used for another request; otherwise closes it.
--- a/crates/brassport-proxy/src/upstream/response.rs
+++ b/crates/brassport-proxy/src/upstream/response.rs
@@ -3,6 +3,7 @@
 use super::connection::{ConnectionError, UpstreamConnection};
 use crate::body::{BodySender, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::clock::Clock;
+use crate::deadline::ResettableDeadline;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::ext::ReasonPhrase;
 use hyper::http::response::Parts;
@@ -12,7 +13,8 @@
 /// How long a response of unknown length is buffered before it is streamed. A request whose response breaks off before
 /// any of it was forwarded can still be retried.
 const BUFFER_TIMEOUT: Duration = Duration::from_millis(50);
-/// Maximum time without progress of a streamed response, on either side.
+/// Maximum time without progress of a streamed response: on the client's side, and on the backend's side after the
+/// deadline of the request.
 const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Whether the head of a response contains the status line of another one. A backend may send the beginning of a surplus
@@ -98,12 +100,15 @@
 
 /// Streams a response to the client. Returns whether the response was forwarded completely, so that its connection can
 /// be reused. Otherwise `sender` is dropped without `finish`, and the client detects that the response is incomplete.
+///
+/// Before its deadline, a request may still be worked on by a backend that sends nothing.
 pub(super) async fn forward<S: AsyncRead + AsyncWrite + Unpin + 'static>(
     clock: &impl Clock,
     connection: &mut UpstreamConnection<S>,
     first: Bytes,
     mut rest: Incoming,
     sender: BodySender,
+    deadline: &ResettableDeadline,
 ) -> bool {
     let mut next = Some(first);
     while let Some(bytes) = next {
@@ -111,7 +116,8 @@
         if clock.timeout(STALL_TIMEOUT, sender.send(bytes)).await != Some(true) {
             return false;
         }
-        let more = clock.timeout(STALL_TIMEOUT, connection.next_chunk(&mut rest));
+        let until = deadline.at().max(clock.now() + STALL_TIMEOUT);
+        let more = clock.timeout_at(until, connection.next_chunk(&mut rest));
         next = tokio::select! {
             biased;
             more = more => match more {
--- a/crates/brassport-proxy/tests/it/main.rs
+++ b/crates/brassport-proxy/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod deadline;
 mod dispatch;
 mod golden;
+mod silent_backend;
 mod upstream_attempt;
 mod upstream_connection;
 mod upstream_request;
