Shutdown: fail requests in flight no earlier than in the last sixth of a short grace period

Cause: the time reserved for error responses was 0.7 s for any grace period.

Change: it is at most a sixth of the grace period.

--- a/crates/brassport-gateway/src/node/mod.rs
+++ b/crates/brassport-gateway/src/node/mod.rs
@@ -18,7 +18,7 @@
 use brassport_proxy::shutdown::{Phase, Shutdown};
 use control_host::ControlHost;
 use inputs::{Input, Inputs, Signals};
-use shutdown::{GracefulShutdown, Progress, Step, FINAL_RESPONSE_TIME};
+use shutdown::{GracefulShutdown, Progress, Step};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Instant;
@@ -158,7 +158,7 @@
         log::warn!("shutdown deadline reached in_flight={}", self.data_plane.in_flight());
         self.data_plane.fail_in_flight();
         if let Some(downstream) = &mut self.downstream {
-            let _ = timeout(FINAL_RESPONSE_TIME / 2, downstream).await;
+            let _ = timeout(self.shutdown.final_response_time() / 2, downstream).await;
         }
     }
 }
--- a/crates/brassport-gateway/src/node/shutdown.rs
+++ b/crates/brassport-gateway/src/node/shutdown.rs
@@ -7,8 +7,11 @@
 /// How long the listeners stay open after SIGTERM. The deployment platform checks readiness every second and stops routing
 /// clients to the node after two failed checks. The delay is at most half of the grace period.
 pub const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
-/// The time reserved at the end of the grace period for sending error responses to the requests still in flight.
+/// The longest time reserved at the end of the grace period for sending error responses to the requests still in flight.
 pub const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(700);
+/// The time reserved for error responses is at most this fraction of the grace period: until then, a backend that works
+/// on a request must be given the time to complete it.
+const FINAL_RESPONSE_SHARE: u32 = 6;
 /// The shortest grace period, in seconds: a shorter one leaves no time for a response.
 const MIN_GRACE_S: f64 = 0.5;
 /// The longest grace period, in seconds: the deployment platform kills the process before a longer one ends.
@@ -58,7 +61,8 @@
     CloseListeners,
     /// End the process: the shutdown is complete.
     Exit,
-    /// Fail the requests in flight, then end the process: only [`FINAL_RESPONSE_TIME`] is left of the grace period.
+    /// Fail the requests in flight, then end the process: only [`GracefulShutdown::final_response_time`] is left of the
+    /// grace period.
     FailInFlight,
 }
 
@@ -74,6 +78,12 @@
         self.grace
     }
 
+    /// The time reserved at the end of the grace period for error responses: [`FINAL_RESPONSE_TIME`] or, of a short grace
+    /// period, the last sixth.
+    pub fn final_response_time(&self) -> Duration {
+        FINAL_RESPONSE_TIME.min(self.grace / FINAL_RESPONSE_SHARE)
+    }
+
     /// Whether SIGTERM is still handled: only before the shutdown starts.
     pub fn accepts_signal(&self) -> TerminateSignal {
         match self.state {
@@ -92,7 +102,7 @@
     /// Returns the step that is due at `now`. After [`Step::CloseListeners`], it must be called again.
     pub fn step(&mut self, now: Instant, progress: Progress) -> Step {
         let is_complete = progress.connections_closed && progress.released_by_cluster;
-        let deadline = self.grace.saturating_sub(FINAL_RESPONSE_TIME);
+        let deadline = self.grace.saturating_sub(self.final_response_time());
         match self.state {
             State::Serving => Step::Wait,
             State::Deregistering { since } if now - since >= DEREGISTRATION_DELAY.min(self.grace / 2) => {
