Control listener: answer 413 to a configuration that fits into no frame between nodes

Cause: the listener takes bodies of up to 24 MiB, and frames between nodes hold 16 MiB. The proposal reaches no other voter, and nothing behind it is evaluated.

Change: bodies of more than 15 MiB get 413.

Evidence: the new test encodes the proposal of the longest body; with 24 MiB it fails with a frame of 25,165,928 bytes.

--- a/crates/brassport-gateway/src/listeners/control.rs
+++ b/crates/brassport-gateway/src/listeners/control.rs
@@ -14,8 +14,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-/// The size limit of a request body. A configuration with 35,000 routes has about 10 MB.
-const MAX_BODY_BYTES: usize = 24 << 20;
+/// The size limit of a request body. A configuration with 35,000 routes has about 10 MB. It is proposed to the other voters
+/// in one frame, so the limit is below [`MAX_FRAME_BYTES`](brassport_transport::frame::MAX_FRAME_BYTES): a proposal that no
+/// voter receives would block all later ones.
+pub const MAX_BODY_BYTES: usize = 15 << 20;
 /// The time limit for receiving the body of a call, and separately for its reply. A proposal that a majority has not
 /// confirmed by then is not expected to be confirmed.
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
@@ -122,7 +124,7 @@
 impl Rejection {
     fn into_response(self) -> Response<Full<Bytes>> {
         match self {
-            Rejection::BodyTooLarge => text_response(StatusCode::PAYLOAD_TOO_LARGE, "more than 24 MiB"),
+            Rejection::BodyTooLarge => text_response(StatusCode::PAYLOAD_TOO_LARGE, "more than 15 MiB"),
             Rejection::BodyIncomplete => {
                 text_response(StatusCode::BAD_REQUEST, "the body did not come whole")
             }
--- a/crates/brassport-gateway/src/listeners/mod.rs
+++ b/crates/brassport-gateway/src/listeners/mod.rs
@@ -5,7 +5,7 @@
 mod metrics;
 mod ready;
 
-pub use control::{serve_control, PendingCall};
+pub use control::{serve_control, PendingCall, MAX_BODY_BYTES};
 pub use metrics::serve_metrics;
 pub use ready::serve_ready;
 
--- a/crates/brassport-gateway/tests/it/listeners.rs
+++ b/crates/brassport-gateway/tests/it/listeners.rs
@@ -2,9 +2,12 @@
 //! fixtures `control` and `ready_and_metrics`.
 
 use crate::common::{exchange, listener, malformed, request, run, GOLDEN};
-use brassport_config_store::consensus::{ChangeScope, ConfigurationRequest};
+use brassport_config_store::consensus::{ChangeScope, ConfigurationRequest, Entry, Message};
 use brassport_control_plane::call::{Call, Reply};
+use brassport_control_plane::peer_message::{Envelope, PeerMessage};
 use brassport_gateway::listeners::{self, PendingCall};
+use brassport_transport::frame;
+use brassport_types::{DiskId, Incarnation, LogIndex, Term};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use tokio::sync::mpsc::unbounded_channel;
@@ -22,6 +25,20 @@
     }
 }
 
+/// Guards against a configuration that stops the control plane: the listener took a body that fits into no frame between
+/// nodes, so that its proposal never reached another voter and blocked all later ones.
+#[test]
+fn the_longest_configuration_fits_into_a_frame_between_nodes() {
+    let disk = DiskId(u64::MAX);
+    let body = Arc::new(vec![b'x'; listeners::MAX_BODY_BYTES]);
+    let entry = Entry::Replace { base_version: u32::MAX, body };
+    let accept = Message::Accept { term: Term::new(u64::MAX, disk), index: LogIndex(u64::MAX), entry };
+    let message = PeerMessage::Consensus(disk, accept);
+    let from = Ipv4Addr::new(10, 0, 2, 9);
+    let frame = frame::encode(&Envelope { from, incarnation: Incarnation(u64::MAX), message });
+    assert!(frame.len() <= frame::MAX_FRAME_BYTES, "{} bytes", frame.len());
+}
+
 fn replies() -> [Reply; 5] {
     [
         Reply::Done(Arc::new(br#"{"version":"00000001"}"#.to_vec())),
@@ -59,7 +76,10 @@
         ("unknown path", request("POST /", "", "")),
         ("malformed call", request("POST /Config.Replace", "", "{}")),
         ("malformed beat", request("POST /Servers.CheckIn/i-1", "", "{}")),
-        ("too long", request("POST /Config.Replace", "X-Built-On: 0\r\n", &"x".repeat((24 << 20) + 1))),
+        (
+            "too long",
+            request("POST /Config.Replace", "X-Built-On: 0\r\n", &"x".repeat(listeners::MAX_BODY_BYTES + 1)),
+        ),
         ("bad body", malformed("Transfer-Encoding: chunked\r\n", "zz\r\n")),
         ("does not come", malformed("Content-Length: 5\r\n", "ab")),
         ("it ends", request("GET /Config.Read", "", "")),
