Review case 6: a late beat brings a signed-off backend back after a kill of all

All doors are killed right after a sign-off was acknowledged and come back; the beat that was due before comes 4 s late and is taken for a backend that has just started.

The stand-ins now end with the script, however it ends.

--- a/review/standin-2/src/backend.rs
+++ b/review/standin-2/src/backend.rs
@@ -7,13 +7,14 @@
 use std::fs::{File, OpenOptions};
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 struct Backend {
     id: String,
     service: String,
+    zone: String,
     work: Duration,
     /// How many bytes of a long answer go out in a tenth of a second; 0: at once.
     pace: usize,
@@ -22,6 +23,10 @@
     freed: Condvar,
     runs: Mutex<File>,
     run_count: AtomicU64,
+    /// The number of its last beat.
+    beat_count: AtomicU64,
+    /// Whether it sends no further beats.
+    is_leaving: AtomicBool,
 }
 
 /// The main function of a backend's process. Ends only with the process.
@@ -40,6 +45,7 @@
     let backend = Arc::new(Backend {
         id: option("id")?,
         service: option("service")?,
+        zone: option("zone")?,
         work: Duration::from_millis(number("work-ms", 20)),
         pace: number("pace", 0) as usize,
         capacity,
@@ -47,12 +53,16 @@
         freed: Condvar::new(),
         runs: Mutex::new(runs),
         run_count: AtomicU64::new(0),
+        beat_count: AtomicU64::new(0),
+        is_leaving: AtomicBool::new(false),
     });
     let listener = TcpListener::bind((ip, 0)).map_err(|error| error.to_string())?;
     small_window(&listener);
     let Ok(SocketAddr::V4(address)) = listener.local_addr() else { return Err("no address".to_owned()) };
-    let beats = backend.clone();
-    std::thread::spawn(move || beats.check_in(address, &controls));
+    let (beats, all_controls) = (backend.clone(), controls.clone());
+    std::thread::spawn(move || beats.check_in(address, &all_controls));
+    let leaver = backend.clone();
+    std::thread::spawn(move || leaver.obey(address, &controls));
     for stream in listener.incoming().flatten() {
         let backend = backend.clone();
         std::thread::spawn(move || backend.serve(stream));
@@ -62,30 +72,17 @@
 
 impl Backend {
     fn check_in(&self, address: SocketAddrV4, controls: &[SocketAddrV4]) {
-        let (mut count, mut next) = (0u64, 0);
+        let mut next = 0;
         let mut report_to: Option<SocketAddrV4> = None;
-        loop {
-            count += 1;
+        while !self.is_leaving.load(Ordering::SeqCst) {
+            let count = self.beat_count.fetch_add(1, Ordering::SeqCst) + 1;
             let to = report_to.unwrap_or(controls[next % controls.len()]);
-            let body = format!(
-                "{{\"address\":\"{address}\",\"details\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"kettle-hall\",\
-                 \"capacity\":{}}},\"status\":{{\"state\":\"ready\",\"callCount\":{count},\"warmupLeftS\":0}}}}",
-                self.service, self.capacity
-            );
-            let head = format!(
-                "POST /Servers.CheckIn/{} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\n\
-                 Content-Length: {}\r\nConnection: close\r\n\r\n",
-                self.id,
-                body.len()
-            );
-            match call(to, &head, body.as_bytes(), Duration::from_secs(1)) {
-                Ok(answer) if (200..300).contains(&answer.status()) => {
-                    let text = String::from_utf8_lossy(&answer.body).into_owned();
-                    let named = text.split("\"reportTo\":\"").nth(1).and_then(|rest| rest.split('"').next()?.parse().ok());
+            match self.beat(to, address, count) {
+                Some(named) => {
                     report_to = named.or(report_to);
                     std::thread::sleep(Duration::from_millis(1500));
                 }
-                _ => {
+                None => {
                     report_to = None;
                     next += 1;
                     std::thread::sleep(Duration::from_millis(200));
@@ -94,6 +91,69 @@
         }
     }
 
+    /// Sends one beat. Nothing if it was not acknowledged, otherwise the address that the answer names, if it does.
+    fn beat(&self, to: SocketAddrV4, address: SocketAddrV4, count: u64) -> Option<Option<SocketAddrV4>> {
+        let body = format!(
+            "{{\"address\":\"{address}\",\"details\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"{}\",\
+             \"capacity\":{}}},\"status\":{{\"state\":\"ready\",\"callCount\":{count},\"warmupLeftS\":0}}}}",
+            self.service, self.zone, self.capacity
+        );
+        let head = format!(
+            "POST /Servers.CheckIn/{} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\n\
+             Content-Length: {}\r\nConnection: close\r\n\r\n",
+            self.id,
+            body.len()
+        );
+        let answer = call(to, &head, body.as_bytes(), Duration::from_secs(1)).ok()?;
+        if !(200..300).contains(&answer.status()) {
+            return None;
+        }
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        Some(text.split("\"reportTo\":\"").nth(1).and_then(|rest| rest.split('"').next()?.parse().ok()))
+    }
+
+    /// Reads commands. `leave SECONDS`: it signs off without having said `emptying`, and serves on. The beat that was
+    /// due before the sign-off comes so many seconds after its acknowledgement.
+    fn obey(&self, address: SocketAddrV4, controls: &[SocketAddrV4]) {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            let late = line.strip_prefix("leave ").and_then(|text| text.parse::<f64>().ok());
+            let Some(late) = late else { continue };
+            self.is_leaving.store(true, Ordering::SeqCst);
+            // The beat that is under way is sent first.
+            std::thread::sleep(Duration::from_millis(300));
+            let late_count = self.beat_count.fetch_add(1, Ordering::SeqCst) + 1;
+            if !self.sign_off(controls) {
+                self.note("@not-acknowledged");
+                continue;
+            }
+            self.note("@signed-off");
+            std::thread::sleep(Duration::from_secs_f64(late));
+            // The next door in the list is of the other zone, where there is one.
+            let answer = controls.iter().skip(1).find_map(|to| self.beat(*to, address, late_count));
+            self.note(match answer {
+                Some(Some(_)) => "@late-beat, answered with another address for the next",
+                Some(None) => "@late-beat",
+                None => "@late-beat, not acknowledged",
+            });
+        }
+    }
+
+    fn sign_off(&self, controls: &[SocketAddrV4]) -> bool {
+        controls.iter().cycle().take(4 * controls.len()).any(|to| {
+            let head = format!(
+                "POST /Servers.SignOff/{} HTTP/1.1\r\nHost: {to}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+                self.id
+            );
+            call(*to, &head, b"", Duration::from_secs(1)).is_ok_and(|answer| (200..300).contains(&answer.status()))
+        })
+    }
+
+    fn note(&self, what: &str) {
+        if let Ok(mut runs) = self.runs.lock() {
+            let _ = runs.write_all(format!("{:.6}\t{what}\t\t0\n", unix()).as_bytes());
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         loop {
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -88,9 +88,13 @@
 
 /// Sends requests, one each `gap`, to the doors in turn, and waits for all of them.
 pub fn load(site: &Site, count: usize, request: &Request, gap: Duration) -> Vec<Seen> {
+    load_doors(&site.fronts(), count, request, gap)
+}
+
+pub fn load_doors(doors: &[SocketAddrV4], count: usize, request: &Request, gap: Duration) -> Vec<Seen> {
     let mut clients = Vec::new();
     for n in 0..count {
-        let (to, request) = (site.front(n % site.doors.len()), request.clone());
+        let (to, request) = (doors[n % doors.len()], request.clone());
         clients.push(std::thread::spawn(move || request.send(to)));
         std::thread::sleep(gap);
     }
--- a/review/standin-2/src/long_answer.rs
+++ b/review/standin-2/src/long_answer.rs
@@ -9,7 +9,7 @@
 const BACKENDS: usize = 8;
 
 pub fn play(record: Record, trouble: bool) -> Verdict {
-    let mut site = Site::new(record, 3, 3)?;
+    let mut site = Site::new(record, 3, 3, 1)?;
     site.start_doors()?;
     for _ in 0..BACKENDS {
         // An answer takes a second: ten parts of 40 kB.
--- a/review/standin-2/src/long_upload.rs
+++ b/review/standin-2/src/long_upload.rs
@@ -8,8 +8,15 @@
 const GIVE_UP_S: f64 = 2.0;
 const BACKENDS: usize = 8;
 
+/// More than a kernel takes on the way from a door to a backend that doesn't read, and little more.
+fn long_body() -> usize {
+    let text = std::fs::read_to_string("/proc/sys/net/ipv4/tcp_wmem").unwrap_or_default();
+    let largest_buffer: usize = text.split_whitespace().last().and_then(|text| text.parse().ok()).unwrap_or(0);
+    (largest_buffer + 1_800_000).max(6_000_000)
+}
+
 pub fn play(record: Record, trouble: bool) -> Verdict {
-    let mut site = Site::new(record, 3, 3)?;
+    let mut site = Site::new(record, 3, 3, 1)?;
     site.start_doors()?;
     for _ in 0..BACKENDS {
         site.start_backend("tankgate", &[("work-ms", "100".to_owned())])?;
@@ -19,7 +26,7 @@
         method: "POST",
         path: "/xapu221/1a",
         key: client::KEY,
-        body_bytes: 6_000_000,
+        body_bytes: long_body(),
         answer_bytes: 64,
         waits: Duration::from_secs(8),
     };
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod client;
 mod http;
+mod late_beat;
 mod long_answer;
 mod long_upload;
 mod site;
@@ -34,6 +35,7 @@
         record.say(&format!("case {name}, {}", if trouble { "with the disruption" } else { "without the disruption" }));
         let verdict = match name.as_str() {
             "long-upload" => long_upload::play(record.clone(), trouble),
+            "late-beat" => late_beat::play(record.clone(), trouble),
             "long-answer" => long_answer::play(record.clone(), trouble),
             _ => Err("there is no such case".to_owned()),
         };
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -12,6 +13,7 @@
 
 /// What the deploy file says of the only role: its program and its arguments.
 const DEPLOY_FILE: &str = "deploy/system.toml";
+const ZONES: [&str; 2] = ["kettle-hall", "tank-yard"];
 
 pub type Failure = String;
 
@@ -64,12 +66,38 @@
     }
 }
 
+extern "C" {
+    fn prctl(option: i32, signal: u64, _: u64, _: u64, _: u64) -> i32;
+}
+
 /// A process that ends with its owner.
 pub struct Process(Child);
 
 impl Process {
+    /// Starts a process that is killed when this one ends, however it does.
+    fn start(command: &mut Command) -> std::io::Result<Process> {
+        const PR_SET_PDEATHSIG: i32 = 1;
+        const SIGKILL: u64 = 9;
+        let ends_with_this_one = || {
+            // Only a system call, as is allowed between fork and exec.
+            unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0) };
+            Ok(())
+        };
+        // The closure allocates nothing and takes no lock.
+        unsafe { command.pre_exec(ends_with_this_one) };
+        command.spawn().map(Process)
+    }
+
+    /// Writes a line to its standard input.
+    pub fn command(&mut self, line: &str) {
+        if let Some(input) = &mut self.0.stdin {
+            let _ = writeln!(input, "{line}");
+        }
+    }
+
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([&format!("-{name}"), &self.0.id().to_string()]).status();
+        // The shell's own, as not every machine has the program.
+        let _ = Command::new("sh").args(["-c", &format!("kill -{name} {}", self.0.id())]).status();
     }
 
     pub fn kill(&mut self) {
@@ -105,6 +133,8 @@
     pub doors: Vec<Door>,
     ports: Ports,
     subnet: (u8, u8),
+    /// How many zones the doors and the backends stand in, by turns.
+    zones: usize,
     pub record: Record,
     pub folder: Folder,
 }
@@ -128,7 +158,7 @@
 
 impl Site {
     /// Lays out doors of which the first `counted` have a disk.
-    pub fn new(record: Record, doors: usize, counted: usize) -> Result<Site, Failure> {
+    pub fn new(record: Record, doors: usize, counted: usize, zones: usize) -> Result<Site, Failure> {
         let folder = Folder::create()?;
         let pid = std::process::id();
         for attempt in 0..40u32 {
@@ -147,24 +177,32 @@
             }
             let door = |(n, ip): (usize, Ipv4Addr)| Door { ip, process: None, has_disk: n < counted, first_start: true };
             let doors = ips.into_iter().enumerate().map(door).collect();
-            return Ok(Site { backends: Vec::new(), doors, ports, subnet, record, folder });
+            return Ok(Site { backends: Vec::new(), doors, ports, subnet, zones, record, folder });
         }
         Err("no free ports".to_owned())
     }
 
-    pub fn front(&self, door: usize) -> SocketAddrV4 {
-        SocketAddrV4::new(self.doors[door].ip, self.ports.front)
+    /// Where clients reach the doors.
+    pub fn fronts(&self) -> Vec<SocketAddrV4> {
+        self.doors.iter().map(|door| SocketAddrV4::new(door.ip, self.ports.front)).collect()
     }
 
     pub fn control(&self, door: usize) -> SocketAddrV4 {
         SocketAddrV4::new(self.doors[door].ip, self.ports.control)
     }
 
+    /// The zone of a door or a backend.
+    pub fn zone(&self, n: usize) -> &'static str {
+        ZONES[n % self.zones]
+    }
+
     fn settings(&self, n: usize) -> String {
         let Door { ip, has_disk, first_start, .. } = &self.doors[n];
         let Ports { front, ready, control, internal } = self.ports;
         let seeds: String =
             self.doors.iter().take(3).map(|door| format!("  - \"{}:{control}\"\n", door.ip)).collect();
+        let zone = self.zone(n);
+        let zones: String = ZONES[..self.zones].iter().map(|zone| format!("  {zone}: \"hooghly\"\n")).collect();
         let disk = if *has_disk {
             format!("dataFolder: \"{}\"\n", self.folder.0.join(format!("disk-{n}")).display())
         } else {
@@ -172,8 +210,8 @@
         };
         let disk_mb = if *has_disk { "  diskMb: 64\n" } else { "" };
         format!(
-            "node: \"edge-kettle-hall-{n}\"\nrole: \"door\"\nmachineType: \"edge\"\nserves:\n  - \"edge\"\n  - \"control\"\n\
-             ip: \"{ip}\"\nzone: \"kettle-hall\"\nregion: \"hooghly\"\nzones:\n  kettle-hall: \"hooghly\"\n\
+            "node: \"edge-{zone}-{n}\"\nrole: \"door\"\nmachineType: \"edge\"\nserves:\n  - \"edge\"\n  - \"control\"\n\
+             ip: \"{ip}\"\nzone: \"{zone}\"\nregion: \"hooghly\"\nzones:\n{zones}\
              listenOn:\n  front: \"{ip}:{front}\"\n  ready: \"{ip}:{ready}\"\n  control: \"{ip}:{control}\"\n\
              internalPorts:\n  - {internal}\n  - {}\nseeds:\n{seeds}firstStart: {first_start}\ncounted: {has_disk}\n\
              limits:\n  cpuPart: 0.35\n  cores: 1\n  memoryMb: 260\n  openFiles: 3000\n  linkMbps: 1000.0\n{disk_mb}{disk}\
@@ -212,9 +250,9 @@
             command.env("BRASSPORT_GATEWAY_LOG", level);
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        let child = command.spawn().map_err(|error| format!("{program}: {error}"))?;
+        let process = Process::start(&mut command).map_err(|error| format!("{program}: {error}"))?;
         self.record.line(&format!("door {n} at {} started", self.doors[n].ip));
-        self.doors[n].process = Some(Process(child));
+        self.doors[n].process = Some(process);
         self.doors[n].first_start = false;
         Ok(())
     }
@@ -280,15 +318,15 @@
         let controls = [&controls[first..], &controls[..first]].concat().join(",");
         let program = std::env::current_exe().map_err(|error| error.to_string())?;
         let mut command = Command::new(program);
-        command.arg("backend").args(["--id", &id, "--service", service, "--ip", &ip.to_string()]);
+        command.arg("backend").args(["--id", &id, "--service", service, "--ip", &ip.to_string(), "--zone", self.zone(n)]);
         command.args(["--controls", &controls, "--runs", &log.display().to_string()]);
         for (name, value) in options {
             command.args([&format!("--{name}"), value]);
         }
-        command.stdin(Stdio::null()).stdout(Stdio::null());
-        let child = command.spawn().map_err(|error| error.to_string())?;
+        command.stdin(Stdio::piped()).stdout(Stdio::null());
+        let process = Process::start(&mut command).map_err(|error| error.to_string())?;
         self.record.line(&format!("backend {id} of {service} at {ip} started"));
-        self.backends.push(BackendProcess { id, process: Process(child), log });
+        self.backends.push(BackendProcess { id, process, log });
         Ok(())
     }
 
