--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -135,6 +135,10 @@
 
 pub fn write_runs(site: &Site) {
     for run in site.runs() {
+        if let Some(what) = run.request.strip_prefix('@') {
+            site.record.at(run.at, &format!("backend {}: {what}", run.backend));
+            continue;
+        }
         let customer = run.customer.map_or("no X-Customer".to_owned(), |name| format!("X-Customer {name:?}"));
         site.record.at(
             run.at,
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -141,6 +141,23 @@
 
 extern "C" {
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn listen(socket: i32, backlog: i32) -> i32;
+}
+
+/// Lets a listener's queue hold one connection that isn't accepted; a further connect hangs.
+pub fn shrink_backlog(listener: &impl std::os::fd::AsRawFd) {
+    // A call on a descriptor that the listener owns.
+    let _ = unsafe { listen(listener.as_raw_fd(), 0) };
+}
+
+/// Resets a connection when it is closed.
+pub fn reset_on_close(stream: &TcpStream) {
+    use std::os::fd::AsRawFd;
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let at_once: [i32; 2] = [1, 0];
+    // The value outlives the call, and the length is its own.
+    let _ = unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, at_once.as_ptr(), 8) };
 }
 
 /// Gives the connections of a listener a small window, as the links of the pages have: their receive buffer holds
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -330,6 +330,29 @@
         Ok(())
     }
 
+    /// Waits for a line that a backend writes about itself; when it was written.
+    pub fn until_noted(&self, backend: usize, what: &str, limit: Duration) -> Result<f64, Failure> {
+        let (until, id) = (Instant::now() + limit, &self.backends[backend].id);
+        while Instant::now() < until {
+            if let Some(run) = self.runs().iter().find(|run| run.backend == *id && run.request == what) {
+                return Ok(run.at);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Err(format!("backend {id} never came to {what}"))
+    }
+
+    /// Makes backends dark: they answer nothing, and a connect to them hangs. All at the same moment, but for some ms.
+    pub fn darken(&mut self, backends: &[usize]) -> Result<(), Failure> {
+        backends.iter().for_each(|n| self.backends[*n].process.command("dark"));
+        for n in backends {
+            self.until_noted(*n, "@dark", Duration::from_secs(5))?;
+            self.backends[*n].process.signal("STOP");
+            self.record.say(&format!("backend {} is dark from here on", self.backends[*n].id));
+        }
+        Ok(())
+    }
+
     /// All runs that the backends have written down, by their time.
     pub fn runs(&self) -> Vec<Run> {
         let mut runs = Vec::new();
